Serve best-effort jobs on the users' platform: the whole path, thin

Cause: the platform's callers, executors and store speak a protocol of their own, and its jobs are held by the entry and need no ownership. Links tell the moment for which a peer is proven alive.

--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -1,7 +1,7 @@
 //! Links of an agent to the site's entries.
 
 use {
-    chestnutrun_net::{Dialer, DialerConf, Link, LinkEvent, LinkId, LinkIds},
+    chestnutrun_net::{Dialer, DialerConf, Link, LinkEvent, LinkId, LinkIds, LinkTiming},
     chestnutrun_protocol::{Hello, Message},
     chestnutrun_types::{AgentHello, EntryId, Member, MemberList, Revision},
     indexmap::{IndexMap, IndexSet},
@@ -160,6 +160,7 @@
             site_token: self.site_token.clone(),
             hello: self.hello.clone(),
             ids: self.ids.clone(),
+            timing: LinkTiming::default(),
             events: self.events.clone(),
         });
         self.dialers.insert(address, dialer);
--- a/crates/bench/src/standins/table.rs
+++ b/crates/bench/src/standins/table.rs
@@ -3,7 +3,7 @@
 use {
     crate::standins::TableState,
     chestnutrun_net::{HttpLimits, http_config, serve_http},
-    chestnutrun_platform::Transaction,
+    chestnutrun_table::Transaction,
     ntex::{
         http::StatusCode,
         web::{
--- a/crates/bench/src/standins/table_state.rs
+++ b/crates/bench/src/standins/table_state.rs
@@ -1,9 +1,7 @@
 //! Rows of the table stand-in.
 
 use {
-    chestnutrun_platform::{
-        ConflictReply, RowReply, RowsReply, Transaction, TransactionReply, Write,
-    },
+    chestnutrun_table::{ConflictReply, RowReply, RowsReply, Transaction, TransactionReply, Write},
     indexmap::IndexMap,
     serde_json::Value,
 };
--- /dev/null
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -0,0 +1,61 @@
+//! What an agent knows of its endpoint.
+
+use {
+    crate::{
+        guard::{Announcement, EndNumber, EndpointClock, EndpointHealth},
+        timing::ENDPOINT_SILENCE_LIMIT,
+    },
+    chestnutrun_types::EndpointInfo,
+    std::time::Instant,
+};
+
+/// What an agent knows of its endpoint.
+#[derive(Debug)]
+pub(crate) struct EndpointState {
+    pub(crate) info: EndpointInfo,
+    pub(crate) clock: EndpointClock,
+    /// Position of the newest announcement.
+    pub(crate) sequence: u64,
+    pub(crate) health: EndpointHealth,
+    pub(crate) is_leaving: bool,
+    /// Whether runs that this agent did not start are gone.
+    pub(crate) is_clean: bool,
+    /// Newest end that was noted.
+    pub(crate) seen: EndNumber,
+    /// When the endpoint last answered or announced itself.
+    pub(crate) heard_at: Instant,
+    /// Whether a list order that waits for ends is out.
+    pub(crate) is_polled: bool,
+    /// Whether a list order that does not wait is out.
+    pub(crate) is_looked_at: bool,
+    /// Moment until which no start is tried, after one was refused for room.
+    pub(crate) full_until: Option<Instant>,
+}
+
+impl EndpointState {
+    pub(crate) fn new(now: Instant, announcement: Announcement) -> Self {
+        Self {
+            info: announcement.info,
+            clock: EndpointClock::new(now, announcement.clock),
+            sequence: announcement.sequence,
+            health: EndpointHealth::default(),
+            is_leaving: announcement.leaving,
+            is_clean: false,
+            seen: 0,
+            heard_at: now,
+            is_polled: false,
+            is_looked_at: false,
+            full_until: None,
+        }
+    }
+
+    /// Whether the endpoint answered a short while ago.
+    pub(crate) fn is_heard(&self, now: Instant) -> bool {
+        now < self.heard_at + ENDPOINT_SILENCE_LIMIT
+    }
+
+    /// Whether tasks may start.
+    pub(crate) fn takes_work(&self, now: Instant) -> bool {
+        self.is_clean && !self.is_leaving && self.is_heard(now)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/guard/mod.rs
@@ -0,0 +1,20 @@
+//! The agent's side of best-effort jobs: guards one endpoint for all entries.
+
+mod endpoint_clock;
+mod endpoint_state;
+mod entry_state;
+mod guard_machine;
+mod health;
+mod messages;
+mod run;
+mod runs;
+
+pub use {
+    endpoint_clock::{EndpointClock, EndpointTime},
+    guard_machine::{GuardConf, GuardMachine},
+    health::EndpointHealth,
+    messages::{
+        Announcement, Answer, EndNumber, FencingToken, GuardAction, GuardInput, GuardMessage,
+        ListOrder, ListReply, ListedEnd, ListedRun, OrderFault, RunEnd, StartOrder, StopOrder,
+    },
+};
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod agent;
 pub mod front;
+pub mod guard;
 pub mod membership;
 pub mod owner;
+pub mod placement;
 pub mod policy;
 pub mod timing;
--- /dev/null
+++ b/crates/decisions/src/placement/held_job.rs
@@ -0,0 +1,97 @@
+//! A job that an entry holds until it ends.
+
+use {
+    crate::placement::{
+        CallerId, Submission,
+        held_task::{HeldTask, TaskState},
+        objective::Objective,
+    },
+    chestnutrun_types::{
+        AgentId, AssignmentId, BestEffortJob, Route, RunNumber, StepIndex, StepSpec, StepTask,
+    },
+    std::{rc::Rc, sync::Arc, time::Instant},
+};
+
+/// A job that an entry holds until it ends.
+#[derive(Debug)]
+pub(crate) struct HeldJob {
+    pub(crate) caller: CallerId,
+    pub(crate) route: Arc<Route>,
+    pub(crate) job: Rc<BestEffortJob>,
+    pub(crate) deadline: Instant,
+    pub(crate) objective: Objective,
+    pub(crate) tasks: Vec<HeldTask>,
+    /// Whether a task may have run.
+    pub(crate) has_run: bool,
+    /// Highest number of a start that an agent told of.
+    pub(crate) highest_run: RunNumber,
+}
+
+impl HeldJob {
+    pub(crate) fn new(submission: Submission, objective: Objective) -> Self {
+        let mut tasks = Vec::new();
+        for (step, spec) in (0..).zip(&submission.job.steps) {
+            let of_step = (0..spec.tasks).map(|index| HeldTask::new(StepTask { step, index }));
+            tasks.extend(of_step);
+        }
+        Self {
+            caller: submission.caller,
+            route: submission.route,
+            job: submission.job,
+            deadline: submission.deadline,
+            objective,
+            tasks,
+            has_run: false,
+            highest_run: 0,
+        }
+    }
+
+    pub(crate) fn step(&self, step: StepIndex) -> &StepSpec {
+        &self.job.steps[usize::from(step)]
+    }
+
+    pub(crate) fn task_mut(&mut self, at: StepTask) -> Option<&mut HeldTask> {
+        self.tasks.iter_mut().find(|task| task.at == at)
+    }
+
+    /// Whether every task ran to its end.
+    pub(crate) fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.state == TaskState::Done)
+    }
+
+    /// Whether a task waits and every step before its own is complete.
+    pub(crate) fn has_ready(&self) -> bool {
+        self.tasks.iter().any(|task| self.is_ready(task))
+    }
+
+    /// Returns the tasks that wait and whose earlier steps are complete.
+    pub(crate) fn ready(&self) -> Vec<HeldTask> {
+        let ready = self.tasks.iter().filter(|task| self.is_ready(task));
+        ready.cloned().collect()
+    }
+
+    /// Returns what agents may have of the job, one entry an assignment.
+    pub(crate) fn holders(&self) -> Vec<(AgentId, AssignmentId)> {
+        let mut holders: Vec<(AgentId, AssignmentId)> = Vec::new();
+        for (agent, id) in self.tasks.iter().filter_map(HeldTask::holder) {
+            if !holders.iter().any(|(_, known)| *known == id) {
+                holders.push((agent.clone(), id));
+            }
+        }
+        holders
+    }
+
+    fn is_ready(&self, task: &HeldTask) -> bool {
+        task.state == TaskState::Waiting
+            && self
+                .step(task.at.step)
+                .after
+                .iter()
+                .all(|step| self.is_step_done(*step))
+    }
+
+    fn is_step_done(&self, step: StepIndex) -> bool {
+        let mut of_step = self.tasks.iter().filter(|task| task.at.step == step);
+        of_step.all(|task| task.state == TaskState::Done)
+    }
+}
--- a/crates/decisions/src/timing.rs
+++ b/crates/decisions/src/timing.rs
@@ -17,3 +17,51 @@
 /// How long an owner waits for an agent that went away before it gives up on
 /// the tasks that were started there.
 pub const AGENT_LOST_AFTER: Duration = Duration::from_secs(10);
+
+/// How long an entry counts as alive after the moment for which it was proven.
+///
+/// A caller whose connection broke submits again 1,300 ms later at the
+/// earliest; by then the tasks of a dead entry must have been stopped.
+pub const ENTRY_PROOF_LIMIT: Duration = Duration::from_millis(600);
+
+/// How long a lease of an endpoint's runs lasts: with the limit above, less
+/// than the 1,300 ms after which a caller submits again.
+pub const RUN_LEASE: Duration = Duration::from_millis(650);
+
+/// How long an endpoint may go without an answer until its lease is no longer
+/// renewed and nothing starts there: one order to list while nothing runs, and
+/// a spare.
+pub const ENDPOINT_SILENCE_LIMIT: Duration = Duration::from_millis(650);
+
+/// How long an endpoint may take to answer an order: a round trip on the
+/// worker takes about a millisecond, and a worker whose processor is a quota
+/// of each tenth of a second may stand still for most of one.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// How long an endpoint may wait for an end before it lists what runs: three
+/// orders within the lease.
+pub const POLL_WAIT: Duration = Duration::from_millis(150);
+
+/// The same while nothing runs; a start brings its own lease, and the next
+/// order must come before that one is over.
+pub const IDLE_POLL_WAIT: Duration = Duration::from_millis(400);
+
+/// Shortest time between two reports of room to an entry that has no ended
+/// task to hear of; about one round trip between availability zones times ten.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(15);
+
+/// How long a run may show no progress: the longest tasks, of some 8 s, show
+/// one percent every 80 ms.
+pub const STALL_LIMIT: Duration = Duration::from_millis(500);
+
+/// How long a start is put off after one was refused for want of room.
+pub const NO_ROOM_PAUSE: Duration = Duration::from_millis(20);
+
+/// Step by which numbers are raised after an endpoint knew a higher one: more
+/// than a clock of a worker is stepped by, in milliseconds.
+pub const NUMBER_STEP: u64 = 10_000;
+
+/// How long after the loss of an agent's link its runs may go on: the agent
+/// may live for the limit of proof without this entry, and then die and leave
+/// a lease that lapses on a clock that is 2% slow.
+pub const AGENT_SILENT_RUNS_END_AFTER: Duration = Duration::from_millis(600 + 650 + 150);
--- /dev/null
+++ b/crates/dispatch/src/agent_loop.rs
@@ -0,0 +1,379 @@
+//! The loop of an agent that guards one endpoint for all entries.
+
+use {
+    crate::{
+        Directory, DirectoryNews, DispatchError, EndpointOrders, SharedRouting,
+        entry_dialers::EntryDialers, routing_news::RoutingNews,
+    },
+    chestnutrun_decisions::guard::{
+        Announcement, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage,
+    },
+    chestnutrun_net::{Link, LinkEvent, LinkId, LinkIds},
+    chestnutrun_protocol::{GuardHello, Hello, Message},
+    chestnutrun_types::{AgentId, EndpointId, EntryId, Incarnation, Member, Now},
+    indexmap::IndexMap,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        sync::{
+            mpsc::{Receiver, Sender, channel},
+            oneshot,
+        },
+        time::{MissedTickBehavior, interval, sleep, sleep_until},
+    },
+};
+
+/// How often the guard is told that time passed.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Most events that wait for the loop.
+const MAX_QUEUED_EVENTS: usize = 4_096;
+
+/// How often an agent without a link asks the directory for entries.
+const ASK_DIRECTORY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time of the platform's grace that is kept for the end of the process.
+const END_MARGIN: Duration = Duration::from_millis(700);
+
+/// How long the last messages get to leave before the process ends.
+const LINGER: Duration = Duration::from_millis(100);
+
+/// What an agent's loop waits for, besides links.
+#[derive(Debug)]
+pub enum AgentEvent {
+    /// The endpoint announced itself.
+    Announced(Announcement),
+    /// The endpoint said that it ended.
+    Ended(EndpointId),
+    /// An order was answered, or not.
+    Answered(GuardInput),
+    /// The metrics, as text.
+    Metrics(oneshot::Sender<String>),
+}
+
+/// What an agent's loop is told at its start.
+#[derive(Debug)]
+pub struct AgentLoopConf {
+    /// Name of the agent.
+    pub agent: AgentId,
+    /// Addresses for links of entries that may exist.
+    pub seeds: Vec<SocketAddr>,
+    /// Where entries are recorded.
+    pub directory: Box<dyn Directory>,
+    /// The endpoint.
+    pub orders: Box<dyn EndpointOrders>,
+    /// How long the process may go on after it is told to stop.
+    pub grace: Duration,
+}
+
+/// An open link to an entry.
+#[derive(Debug)]
+struct EntryLink {
+    link: Link,
+    member: Option<Member>,
+}
+
+/// The loop of an agent that guards one endpoint for all entries.
+#[derive(Debug)]
+pub struct AgentLoop {
+    agent: AgentId,
+    guard: GuardMachine,
+    links: IndexMap<LinkId, EntryLink>,
+    by_entry: IndexMap<EntryId, LinkId>,
+    dialers: EntryDialers,
+    directory: Box<dyn Directory>,
+    orders: Box<dyn EndpointOrders>,
+    routing: SharedRouting,
+    news: RoutingNews,
+    events: Sender<AgentEvent>,
+    news_tx: Sender<DirectoryNews>,
+    ask_directory_at: Instant,
+    grace: Duration,
+    end_by: Option<Instant>,
+}
+
+impl AgentLoop {
+    /// Runs the loop until the process is told to stop.
+    ///
+    /// # Errors
+    /// Returns an error where signals cannot be listened for.
+    pub async fn run(
+        conf: AgentLoopConf,
+        events: Sender<AgentEvent>,
+        rx: Receiver<AgentEvent>,
+    ) -> Result<(), DispatchError> {
+        let now = Now::read();
+        let incarnation: Incarnation = now.incarnation();
+        let (link_tx, link_rx) = channel(MAX_QUEUED_EVENTS);
+        let (news_tx, news_rx) = channel(MAX_QUEUED_EVENTS);
+        let hello = Hello::Guard(GuardHello {
+            agent: conf.agent.clone(),
+            incarnation,
+        });
+        let mut dialers = EntryDialers::new(hello, LinkIds::default(), link_tx, None);
+        dialers.dial_seeds(&conf.seeds);
+        let this = Self {
+            agent: conf.agent,
+            guard: GuardMachine::new(GuardConf {
+                first_number: incarnation / 1_000_000,
+            }),
+            links: IndexMap::new(),
+            by_entry: IndexMap::new(),
+            dialers,
+            directory: conf.directory,
+            orders: conf.orders,
+            routing: SharedRouting::default(),
+            news: RoutingNews::default(),
+            events,
+            news_tx,
+            ask_directory_at: now.instant,
+            grace: conf.grace,
+            end_by: None,
+        };
+        this.serve(rx, link_rx, news_rx).await
+    }
+
+    async fn serve(
+        mut self,
+        mut rx: Receiver<AgentEvent>,
+        mut links: Receiver<LinkEvent>,
+        mut news: Receiver<DirectoryNews>,
+    ) -> Result<(), DispatchError> {
+        let mut terminate = signal(SignalKind::terminate()).map_err(DispatchError::Signal)?;
+        let mut reload = signal(SignalKind::hangup()).map_err(DispatchError::Signal)?;
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        log::info!("agent {} started", self.agent);
+        while !self.is_done() {
+            let report_at = self.guard.report_at();
+            tokio::select! {
+                Some(event) = rx.recv() => self.event(event),
+                Some(event) = links.recv() => self.link_event(event),
+                Some(event) = news.recv() => self.directory_news(event),
+                () = until(report_at) => self.input(GuardInput::Tick),
+                _ = tick.tick() => self.tick(),
+                _ = terminate.recv() => self.leave(),
+                _ = reload.recv() => log::info!("settings are read at the start only"),
+            }
+        }
+        self.close().await;
+        Ok(())
+    }
+
+    fn is_done(&self) -> bool {
+        let Some(end_by) = self.end_by else {
+            return false;
+        };
+        self.guard.is_idle() || end_by <= Now::read().instant
+    }
+
+    fn leave(&mut self) {
+        if self.end_by.is_some() {
+            return;
+        }
+        log::info!(
+            "agent {} leaves with {} tasks",
+            self.agent,
+            self.guard.tasks()
+        );
+        self.end_by = Some(Now::read().instant + self.grace.saturating_sub(END_MARGIN));
+        self.input(GuardInput::Leave);
+    }
+
+    async fn close(self) {
+        if !self.guard.is_idle() {
+            log::warn!("{} tasks were cut off", self.guard.tasks());
+        }
+        sleep(LINGER).await;
+        self.dialers.close();
+        log::info!("agent {} stopped", self.agent);
+    }
+
+    fn tick(&mut self) {
+        self.input(GuardInput::Tick);
+        let now = Now::read().instant;
+        let linked: Vec<SocketAddr> = self.members().map(|member| member.inner).collect();
+        self.dialers.tidy(now, &linked);
+        if linked.is_empty() && self.ask_directory_at <= now {
+            self.ask_directory_at = now + ASK_DIRECTORY_INTERVAL;
+            self.directory.read_members(self.news_tx.clone());
+        }
+        if let Some(peer) = self.news.due(now, self.routing.version()) {
+            self.send(peer, Message::RoutingRequest);
+        }
+    }
+
+    fn members(&self) -> impl Iterator<Item = &Member> {
+        self.links.values().filter_map(|link| link.member.as_ref())
+    }
+
+    fn event(&mut self, event: AgentEvent) {
+        match event {
+            AgentEvent::Announced(announcement) => self.input(GuardInput::Announced(announcement)),
+            AgentEvent::Ended(endpoint) => self.input(GuardInput::Ended(endpoint)),
+            AgentEvent::Answered(input) => self.input(input),
+            AgentEvent::Metrics(reply) => {
+                // An asker who went away needs no reply.
+                let _ = reply.send(String::new());
+            }
+        }
+    }
+
+    fn directory_news(&mut self, news: DirectoryNews) {
+        match news {
+            DirectoryNews::Members(members) => {
+                self.dialers.dial_members(Now::read().instant, &members);
+            }
+            DirectoryNews::Routing(_) | DirectoryNews::Reachable(_) => {}
+        }
+    }
+
+    fn link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up(link, _) => {
+                let id = link.id();
+                self.links.insert(id, EntryLink { link, member: None });
+                self.send(id, Message::RoutingVersion(self.routing.version()));
+            }
+            LinkEvent::Message(id, message) => self.message(id, message),
+            LinkEvent::Proven(id, at) => {
+                if let Some(entry) = self.entry(id) {
+                    self.input(GuardInput::Proven(entry, at));
+                }
+            }
+            LinkEvent::Down(id) => self.link_down(id),
+        }
+    }
+
+    fn link_down(&mut self, id: LinkId) {
+        self.news.down(id);
+        let entry = self.entry(id);
+        if let Some(open) = self.links.swap_remove(&id) {
+            open.link.close();
+        }
+        if let Some(entry) = entry {
+            self.by_entry.swap_remove(&entry);
+            log::info!("entry {entry} is out of reach");
+            self.input(GuardInput::LinkDown(entry));
+        }
+    }
+
+    /// Returns the entry of a link that no newer one replaced.
+    fn entry(&self, id: LinkId) -> Option<EntryId> {
+        let member = self.links.get(&id)?.member.as_ref()?;
+        (self.by_entry.get(&member.entry) == Some(&id)).then(|| member.entry.clone())
+    }
+
+    fn message(&mut self, id: LinkId, message: Message) {
+        match message {
+            Message::Hello(Hello::Entry(member)) => {
+                if let Some(open) = self.links.get_mut(&id) {
+                    open.member = Some(member.clone());
+                    self.by_entry.insert(member.entry.clone(), id);
+                    log::info!("entry {} is linked", member.entry);
+                    self.input(GuardInput::LinkUp(member.entry, member.incarnation));
+                }
+            }
+            Message::Members(list) => {
+                self.dialers
+                    .dial_members(Now::read().instant, &list.members);
+            }
+            Message::RoutingVersion(version) => {
+                let now = Now::read().instant;
+                self.news.told(now, self.routing.version(), id, version);
+            }
+            Message::RoutingRequest => {
+                if let Some(table) = self.routing.table() {
+                    self.send(id, Message::Routing((*table).clone()));
+                }
+            }
+            Message::Routing(table) => {
+                if self.routing.take(table) {
+                    let version = Message::RoutingVersion(self.routing.version());
+                    for id in self.links.keys() {
+                        self.send(*id, version.clone());
+                    }
+                }
+            }
+            Message::Assign(assignment) => {
+                if let Some(entry) = self.entry(id) {
+                    self.input(GuardInput::Assign(entry, assignment));
+                }
+            }
+            Message::Revoke(revocation) => {
+                if let Some(entry) = self.entry(id) {
+                    self.input(GuardInput::Revoke(entry, revocation));
+                }
+            }
+            other => log::warn!("message {} that is not for an agent", other.kind()),
+        }
+    }
+
+    fn input(&mut self, input: GuardInput) {
+        for action in self.guard.handle(Now::read(), input) {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: GuardAction) {
+        match action {
+            GuardAction::Send(entry, message) => {
+                if let Some(id) = self.by_entry.get(&entry) {
+                    self.send(*id, to_wire(message));
+                }
+            }
+            GuardAction::Start(order) => {
+                let (endpoint, run) = (order.incarnation, order.run);
+                let answer = self.orders.start(order);
+                self.answer_later(async move { GuardInput::Started(endpoint, run, answer.await) });
+            }
+            GuardAction::Stop(order) => {
+                let (endpoint, run) = (order.incarnation, order.run);
+                let answer = self.orders.stop(order);
+                self.answer_later(async move { GuardInput::Stopped(endpoint, run, answer.await) });
+            }
+            GuardAction::List(order) => {
+                let answer = self.orders.list(order.clone());
+                self.answer_later(async move {
+                    GuardInput::Listed(order.incarnation, order, answer.await)
+                });
+            }
+        }
+    }
+
+    fn answer_later(&self, answer: impl Future<Output = GuardInput> + 'static) {
+        let events = self.events.clone();
+        ntex::rt::spawn(async move {
+            let event = AgentEvent::Answered(answer.await);
+            // The loop is gone only when the process ends.
+            let _ = events.send(event).await;
+        });
+    }
+
+    fn send(&self, id: LinkId, message: Message) {
+        if let Some(open) = self.links.get(&id)
+            && !open.link.send(message)
+        {
+            log::debug!("message on a link that closed");
+        }
+    }
+}
+
+fn to_wire(message: GuardMessage) -> Message {
+    match message {
+        GuardMessage::Resync(resync) => Message::Resync(resync),
+        GuardMessage::Endpoint(info) => Message::Endpoint(info),
+        GuardMessage::Update(update) => Message::Update(update),
+    }
+}
+
+/// Waits until a moment; for ever where there is none.
+async fn until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -14,8 +14,8 @@
     },
     chestnutrun_net::LinkEvent,
     chestnutrun_observe::{EventKind, Metrics, Stopwatch, Timeline},
-    chestnutrun_platform::Table,
     chestnutrun_settings::EntryConf,
+    chestnutrun_table::Table,
     chestnutrun_types::{Configuration, Member, MemberList, Now},
     indexmap::IndexMap,
     std::{
--- a/crates/entry/src/daemon/links_side.rs
+++ b/crates/entry/src/daemon/links_side.rs
@@ -19,6 +19,8 @@
         match event {
             LinkEvent::Up(link, peer) => self.link_up(link, peer),
             LinkEvent::Message(id, message) => self.message(id, message),
+            // Ownerships are confirmed by messages of their own.
+            LinkEvent::Proven(..) => {}
             LinkEvent::Down(id) => self.link_down(id),
         }
     }
@@ -58,6 +60,14 @@
     }
 
     fn link_up(&mut self, link: Link, peer: PeerName) {
+        if let PeerName::Accepted(Hello::Guard(hello)) = &peer {
+            log::warn!(
+                "agent {} belongs to a site without owners; its link is closed",
+                hello.agent
+            );
+            link.close();
+            return;
+        }
         // A link that closed meanwhile reports so by itself.
         let _ = link.send(Message::Hello(Hello::Entry(self.me.clone())));
         let _ = link.send(Message::Members(self.members.clone()));
@@ -66,7 +76,7 @@
                 PeerName::Accepted(Hello::Agent(hello)) => {
                     configuration.for_endpoint(&hello.endpoint)
                 }
-                PeerName::Accepted(Hello::Entry(_)) | PeerName::Dialed(_) => {
+                PeerName::Accepted(Hello::Entry(_) | Hello::Guard(_)) | PeerName::Dialed(_) => {
                     (**configuration).clone()
                 }
             };
@@ -84,6 +94,7 @@
                 self.agent_up(hello);
             }
             PeerName::Accepted(Hello::Entry(member)) => self.links.entry_up(link, member.entry),
+            PeerName::Accepted(Hello::Guard(_)) => {}
             PeerName::Dialed(entry) => {
                 self.note_link(EventKind::LinkUp, &entry);
                 self.links.dialed_up(link, entry.clone());
--- a/crates/entry/src/daemon/observation.rs
+++ b/crates/entry/src/daemon/observation.rs
@@ -7,7 +7,7 @@
         policy::EndpointSlots,
     },
     chestnutrun_observe::EventKind,
-    chestnutrun_platform::TableError,
+    chestnutrun_table::TableError,
     chestnutrun_types::{JobRef, Reply, ShardId, WriteResult},
     std::time::{Instant, SystemTime},
 };
--- a/crates/entry/src/daemon/start.rs
+++ b/crates/entry/src/daemon/start.rs
@@ -8,10 +8,10 @@
         listener::Listener,
         operators::{self, Desk},
     },
-    chestnutrun_net::{HttpLimits, LinkIds, LinkServerConf, serve_links, tls_config},
+    chestnutrun_net::{HttpLimits, LinkIds, LinkServerConf, LinkTiming, serve_links, tls_config},
     chestnutrun_observe::{Metrics, Timeline, start_logs},
-    chestnutrun_platform::HttpTable,
     chestnutrun_settings::{EntryConf, TlsConf, load},
+    chestnutrun_table::HttpTable,
     chestnutrun_types::{Member, Now},
     ntex::{SharedCfg, client::Client},
     rustls::ServerConfig,
@@ -80,6 +80,7 @@
         LinkServerConf {
             site_token,
             ids,
+            timing: LinkTiming::default(),
             events: link_tx,
         },
     ));
--- a/crates/entry/src/daemon/table_side.rs
+++ b/crates/entry/src/daemon/table_side.rs
@@ -7,8 +7,8 @@
         membership::{MembershipAction, MembershipInput},
         owner::{OwnerInput, Takeover},
     },
-    chestnutrun_platform::TableError,
     chestnutrun_protocol::Message,
+    chestnutrun_table::TableError,
     chestnutrun_types::{MemberList, Now, TableSnapshot, TableWrite},
     uuid::Uuid,
 };
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -3,7 +3,7 @@
 use {
     crate::operators::{OperatorReply, OperatorRequest},
     chestnutrun_decisions::front::{Request, WaiterId},
-    chestnutrun_platform::TableError,
+    chestnutrun_table::TableError,
     chestnutrun_types::{Reply, Revision, TableRow, TableSnapshot, TableWrite, WriteResult},
     tokio::sync::oneshot,
 };
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -1,7 +1,7 @@
 //! Links of an entry to agents and to the other entries.
 
 use {
-    chestnutrun_net::{Dialer, DialerConf, Link, LinkEvent, LinkId, LinkIds},
+    chestnutrun_net::{Dialer, DialerConf, Link, LinkEvent, LinkId, LinkIds, LinkTiming},
     chestnutrun_protocol::{Hello, Message},
     chestnutrun_types::{AgentHello, Configuration, EndpointId, EntryId, Member},
     indexmap::IndexMap,
@@ -224,6 +224,7 @@
             site_token: self.site_token.clone(),
             hello: Rc::new(RefCell::new(Hello::Entry(self.me.clone()))),
             ids: self.ids.clone(),
+            timing: LinkTiming::default(),
             events: self.events.clone(),
         });
         self.dialers.insert(member.entry.clone(), dialer);
--- a/crates/entry/src/operators/changes.rs
+++ b/crates/entry/src/operators/changes.rs
@@ -7,8 +7,8 @@
         problem::Problem,
         request_body::read_body,
     },
-    chestnutrun_platform::{Change, ChangeResult, Present},
     chestnutrun_settings::RequestLimits,
+    chestnutrun_table::{Change, ChangeResult, Present},
     chestnutrun_types::{Contract, DrainState, Revision, TableRow, TableWrite},
     ntex::{
         http::{StatusCode, header},
--- a/crates/entry/src/operators/desk.rs
+++ b/crates/entry/src/operators/desk.rs
@@ -6,7 +6,7 @@
         operators::{OperatorReply, OperatorRequest},
         problem::Problem,
     },
-    chestnutrun_platform::ConfigurationStore,
+    chestnutrun_table::ConfigurationStore,
     chestnutrun_types::{Revision, TableRow},
     ntex::{
         http::{StatusCode, header},
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,7 +11,7 @@
 pub use {
     errors::LinkError,
     http::{HttpLimits, ServeConf, http_config, serve_http, serve_http_with},
-    link::{Link, LinkEvent, LinkId, LinkIds, PeerName},
+    link::{Link, LinkEvent, LinkId, LinkIds, LinkTiming, PeerName},
     link_client::{Dialer, DialerConf},
     link_server::{LinkServerConf, serve_links},
     request_fault::{FaultResponse, RequestFault},
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -3,16 +3,20 @@
 use {
     crate::LinkError,
     chestnutrun_protocol::{Hello, MAX_FRAME_BYTES, Message, decode, encode},
-    chestnutrun_types::EntryId,
+    chestnutrun_types::{EntryId, Now},
     futures_util::{
         SinkExt, StreamExt,
         stream::{SplitSink, SplitStream},
     },
-    std::{cell::Cell, rc::Rc, time::Duration},
+    std::{
+        cell::Cell,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
     tokio::{
         net::TcpStream,
         sync::mpsc::{Receiver, Sender, channel},
-        time::timeout,
+        time::{timeout, timeout_at},
     },
     tokio_tungstenite::{
         WebSocketStream,
@@ -20,11 +24,28 @@
     },
 };
 
-/// How long a link may be idle before it is probed.
-const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// How long a peer may take to open a link.
+pub(crate) const OPENING_LIMIT: Duration = Duration::from_millis(1_200);
+
+/// How links are probed.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkTiming {
+    /// Time between two probes of a link.
+    pub probe_interval: Duration,
+    /// How long a peer may be silent before the link is closed.
+    pub silence_limit: Duration,
+}
 
-/// How long a peer may be silent before the link is closed.
-pub(crate) const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+impl Default for LinkTiming {
+    /// Three probes within the limit of silence, which is well under the 2 s
+    /// within which a silent connection must be noticed.
+    fn default() -> Self {
+        Self {
+            probe_interval: Duration::from_millis(400),
+            silence_limit: Duration::from_millis(1_200),
+        }
+    }
+}
 
 /// Most messages that wait to be sent on one link.
 const MAX_QUEUED_MESSAGES: usize = 65_536;
@@ -62,6 +83,8 @@
     Up(Link, PeerName),
     /// A message came in.
     Message(LinkId, Message),
+    /// The peer was alive at this moment of this process's clock or later.
+    Proven(LinkId, Instant),
     /// A link closed.
     Down(LinkId),
 }
@@ -108,8 +131,10 @@
     id: LinkId,
     socket: Socket,
     peer: PeerName,
+    timing: LinkTiming,
     events: &Sender<LinkEvent>,
 ) -> LinkError {
+    let probes = Probes::default();
     let (tx, rx) = channel(MAX_QUEUED_MESSAGES);
     let up = LinkEvent::Up(Link { id, tx }, peer);
     if events.send(up).await.is_err() {
@@ -117,26 +142,36 @@
     }
     let (sink, stream) = socket.split();
     let error = tokio::select! {
-        error = write(rx, sink) => error,
-        error = read(id, stream, events) => error,
+        error = write(rx, sink, timing, &probes) => error,
+        error = read(id, stream, timing, &probes, events) => error,
     };
     // The loop of the process is gone where nobody takes the event.
     let _ = events.send(LinkEvent::Down(id)).await;
     error
 }
 
-/// Reads one message, within the limit of silence.
-pub(crate) async fn read_message(
+/// What a peer sent.
+pub(crate) enum Received {
+    /// A message.
+    Message(Message),
+    /// The answer to a probe.
+    Pong(Bytes),
+}
+
+/// Reads one message or answer to a probe, within the limit of silence.
+pub(crate) async fn read_frame(
     stream: &mut (impl StreamExt<Item = Result<Frame, tokio_tungstenite::tungstenite::Error>> + Unpin),
-) -> Result<Message, LinkError> {
+    limit: Duration,
+) -> Result<Received, LinkError> {
     loop {
-        let Ok(next) = timeout(SILENCE_LIMIT, stream.next()).await else {
+        let Ok(next) = timeout(limit, stream.next()).await else {
             return Err(LinkError::Silent);
         };
         match next {
             None | Some(Ok(Frame::Close(_))) => return Err(LinkError::Closed),
             Some(Err(error)) => return Err(error.into()),
-            Some(Ok(Frame::Binary(buf))) => return Ok(decode(&buf)?),
+            Some(Ok(Frame::Binary(buf))) => return Ok(Received::Message(decode(&buf)?)),
+            Some(Ok(Frame::Pong(buf))) => return Ok(Received::Pong(buf)),
             Some(Ok(_)) => {}
         }
     }
@@ -145,27 +180,43 @@
 async fn read(
     id: LinkId,
     mut stream: SplitStream<Socket>,
+    timing: LinkTiming,
+    probes: &Probes,
     events: &Sender<LinkEvent>,
 ) -> LinkError {
     loop {
-        let message = match read_message(&mut stream).await {
-            Ok(message) => message,
+        let event = match read_frame(&mut stream, timing.silence_limit).await {
+            Ok(Received::Message(message)) => LinkEvent::Message(id, message),
+            Ok(Received::Pong(buf)) => match probes.sent_at(&buf) {
+                Some(at) => LinkEvent::Proven(id, at),
+                None => continue,
+            },
             Err(error) => return error,
         };
-        if events.send(LinkEvent::Message(id, message)).await.is_err() {
+        if events.send(event).await.is_err() {
             return LinkError::Closed;
         }
     }
 }
 
-async fn write(mut rx: Receiver<Message>, mut sink: SplitSink<Socket, Frame>) -> LinkError {
+/// Sends messages, and a probe at fixed intervals, so that the answers prove
+/// that the peer was alive when the probe left.
+async fn write(
+    mut rx: Receiver<Message>,
+    mut sink: SplitSink<Socket, Frame>,
+    timing: LinkTiming,
+    probes: &Probes,
+) -> LinkError {
+    let limit = timing.silence_limit;
+    let mut probe_at = tokio::time::Instant::now();
     loop {
-        let sent = match timeout(PROBE_INTERVAL, rx.recv()).await {
-            Ok(Some(message)) => {
-                timeout(SILENCE_LIMIT, write_batch(message, &mut rx, &mut sink)).await
-            }
+        let sent = match timeout_at(probe_at, rx.recv()).await {
+            Ok(Some(message)) => timeout(limit, write_batch(message, &mut rx, &mut sink)).await,
             Ok(None) => return LinkError::Closed,
-            Err(_) => timeout(SILENCE_LIMIT, probe(&mut sink)).await,
+            Err(_) => {
+                probe_at = tokio::time::Instant::now() + timing.probe_interval;
+                timeout(limit, probe(&mut sink, probes)).await
+            }
         };
         match sent {
             Ok(Ok(())) => {}
@@ -175,8 +226,39 @@
     }
 }
 
-async fn probe(sink: &mut SplitSink<Socket, Frame>) -> Result<(), LinkError> {
-    Ok(sink.send(Frame::Ping(Bytes::new())).await?)
+async fn probe(sink: &mut SplitSink<Socket, Frame>, probes: &Probes) -> Result<(), LinkError> {
+    Ok(sink.send(Frame::Ping(probes.payload())).await?)
+}
+
+/// Ties the answers to probes to the moments at which the probes were sent.
+struct Probes {
+    epoch: Instant,
+}
+
+impl Default for Probes {
+    fn default() -> Self {
+        Self {
+            epoch: Now::read().instant,
+        }
+    }
+}
+
+impl Probes {
+    /// Returns the payload of a probe that is sent now: microseconds since the
+    /// link opened, little-endian.
+    fn payload(&self) -> Bytes {
+        let age = Now::read().instant.saturating_duration_since(self.epoch);
+        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Bytes::copy_from_slice(&micros.to_le_bytes())
+    }
+
+    /// Returns when the probe with this payload was sent; none where the
+    /// payload is not of this link.
+    fn sent_at(&self, payload: &[u8]) -> Option<Instant> {
+        let micros = u64::from_le_bytes(payload.try_into().ok()?);
+        let at = self.epoch.checked_add(Duration::from_micros(micros))?;
+        (at <= Now::read().instant).then_some(at)
+    }
 }
 
 /// Sends a message and what is queued behind it with one flush.
--- a/crates/net/src/link_client.rs
+++ b/crates/net/src/link_client.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         LinkError, LinkEvent, LinkId, LinkIds, PeerName,
-        link::{SILENCE_LIMIT, Socket, run_link, socket_config},
+        link::{LinkTiming, OPENING_LIMIT, Socket, run_link, socket_config},
     },
     chestnutrun_protocol::{Hello, Message, PROTOCOL, encode},
     chestnutrun_types::EntryId,
@@ -41,6 +41,8 @@
     pub hello: Rc<RefCell<Hello>>,
     /// Hands out numbers of links.
     pub ids: LinkIds,
+    /// How the link is probed.
+    pub timing: LinkTiming,
     /// Where events go.
     pub events: Sender<LinkEvent>,
 }
@@ -88,14 +90,14 @@
 /// Opens links without end; `open` tells the link that is open now.
 async fn redial(cfg: &DialerConf, open: &Cell<Option<LinkId>>) {
     loop {
-        let error = match timeout(SILENCE_LIMIT, connect(cfg)).await {
+        let error = match timeout(OPENING_LIMIT, connect(cfg)).await {
             Err(_) => LinkError::Silent,
             Ok(Err(error)) => error,
             Ok(Ok(socket)) => {
                 let peer = PeerName::Dialed(cfg.entry.clone());
                 let id = cfg.ids.next();
                 open.set(Some(id));
-                let error = run_link(id, socket, peer, &cfg.events).await;
+                let error = run_link(id, socket, peer, cfg.timing, &cfg.events).await;
                 open.set(None);
                 error
             }
--- a/crates/net/src/link_server.rs
+++ b/crates/net/src/link_server.rs
@@ -3,10 +3,10 @@
 use {
     crate::{
         LinkError, LinkEvent, LinkIds, PeerName,
-        link::{SILENCE_LIMIT, read_message, run_link, socket_config},
+        link::{LinkTiming, OPENING_LIMIT, Received, read_frame, run_link, socket_config},
     },
     chestnutrun_protocol::{Message, PROTOCOL},
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc::Sender,
@@ -21,6 +21,9 @@
     },
 };
 
+/// How long to wait after a link could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a server of links needs.
 #[derive(Clone, Debug)]
 pub struct LinkServerConf {
@@ -28,6 +31,8 @@
     pub site_token: Rc<str>,
     /// Hands out numbers of links.
     pub ids: LinkIds,
+    /// How links are probed.
+    pub timing: LinkTiming,
     /// Where events go.
     pub events: Sender<LinkEvent>,
 }
@@ -45,17 +50,19 @@
             }
             Err(error) => {
                 log::warn!("link not accepted: {error}");
-                tokio::time::sleep(SILENCE_LIMIT).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
 async fn serve_link(stream: TcpStream, cfg: &LinkServerConf) -> LinkError {
-    match timeout(SILENCE_LIMIT, open(stream, cfg)).await {
+    match timeout(OPENING_LIMIT, open(stream, cfg)).await {
         Err(_) => LinkError::Silent,
         Ok(Err(error)) => error,
-        Ok(Ok((socket, peer))) => run_link(cfg.ids.next(), socket, peer, &cfg.events).await,
+        Ok(Ok((socket, peer))) => {
+            run_link(cfg.ids.next(), socket, peer, cfg.timing, &cfg.events).await
+        }
     }
 }
 
@@ -68,8 +75,8 @@
     #[allow(clippy::result_large_err)] // the library names the error
     let check = |req: &Request, res: Response| check_handshake(req, res, &token);
     let mut socket = accept_hdr_async_with_config(stream, check, Some(socket_config())).await?;
-    match read_message(&mut socket).await? {
-        Message::Hello(hello) => Ok((socket, PeerName::Accepted(hello))),
+    match read_frame(&mut socket, OPENING_LIMIT).await? {
+        Received::Message(Message::Hello(hello)) => Ok((socket, PeerName::Accepted(hello))),
         _ => Err(LinkError::NoHello),
     }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -8,5 +8,5 @@
 pub use {
     codec::{MAX_FRAME_BYTES, decode, encode},
     errors::CodecError,
-    message::{Hello, Message, PROTOCOL},
+    message::{GuardHello, Hello, Message, PROTOCOL},
 };
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -2,15 +2,16 @@
 
 use {
     chestnutrun_types::{
-        Acknowledgement, AgentHello, Configuration, Confirm, Confirmation, Fence, FenceReply,
-        Finished, JobRef, JobReply, KeyHash, KnownAgents, Lookup, LookupReply, Member, MemberList,
-        ShardOwner, Start, StartRefused, Submit, Vouch, Vouched,
+        Acknowledgement, AgentHello, AgentId, AgentUpdate, Assignment, Configuration, Confirm,
+        Confirmation, EndpointInfo, Fence, FenceReply, Finished, Incarnation, JobRef, JobReply,
+        KeyHash, KnownAgents, Lookup, LookupReply, Member, MemberList, Resync, Revocation,
+        RoutingTable, RoutingVersion, ShardOwner, Start, StartRefused, Submit, Vouch, Vouched,
     },
     serde::{Deserialize, Serialize},
 };
 
 /// Name and version of the protocol, compared when a link opens.
-pub const PROTOCOL: &str = "chestnutrun.1";
+pub const PROTOCOL: &str = "chestnutrun.2";
 
 /// First message on a link, from the side that opened it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -20,6 +21,17 @@
     Agent(AgentHello),
     /// An entry names itself.
     Entry(Member),
+    /// An agent that guards an endpoint for several entries names itself.
+    Guard(GuardHello),
+}
+
+/// Names an agent that guards an endpoint for several entries.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GuardHello {
+    /// The agent.
+    pub agent: AgentId,
+    /// Run of the agent.
+    pub incarnation: Incarnation,
 }
 
 /// Any message on a link.
@@ -70,6 +82,22 @@
     Vouched(Vouched),
     /// Entry to entry: the runs of agents that the sender knows.
     Agents(KnownAgents),
+    /// Agent to entry: what the agent knows of the entry's assignments.
+    Resync(Resync),
+    /// Agent to entry: the endpoint changed; none where it is gone.
+    Endpoint(Option<EndpointInfo>),
+    /// Agent to entry: room and ended tasks.
+    Update(AgentUpdate),
+    /// Entry to agent: start tasks of a job.
+    Assign(Assignment),
+    /// Entry to agent: drop or stop tasks.
+    Revoke(Revocation),
+    /// To any peer: the newest routing table that the sender has.
+    RoutingVersion(RoutingVersion),
+    /// To any peer: send the routing table.
+    RoutingRequest,
+    /// To any peer: the routing table.
+    Routing(RoutingTable),
 }
 
 impl Message {
@@ -99,6 +127,14 @@
             Self::Vouch(_) => "vouch",
             Self::Vouched(_) => "vouched",
             Self::Departed(_) => "departed",
+            Self::Resync(_) => "resync",
+            Self::Endpoint(_) => "endpoint",
+            Self::Update(_) => "update",
+            Self::Assign(_) => "assign",
+            Self::Revoke(_) => "revoke",
+            Self::RoutingVersion(_) => "routing-version",
+            Self::RoutingRequest => "routing-request",
+            Self::Routing(_) => "routing",
         }
     }
 }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -29,6 +29,33 @@
 /// Tells one run of a process from the next one under the same name.
 pub type Incarnation = u64;
 
+/// The caller's name of a best-effort job: 16 hexadecimal digits.
+pub type JobId = Arc<str>;
+
+/// Name of a route.
+pub type RouteId = Arc<str>;
+
+/// Name of a pool of endpoints.
+pub type ServiceId = Arc<str>;
+
+/// Name of an agent, from its settings.
+pub type AgentId = Arc<str>;
+
+/// A property of an endpoint, such as its kind or its rack.
+pub type Label = Arc<str>;
+
+/// Position of a step in its job, from 0.
+pub type StepIndex = u16;
+
+/// Number of an assignment, which grows with each one of an entry's run.
+pub type AssignmentId = u64;
+
+/// Number of a task's start at an endpoint; grows with each start.
+pub type RunNumber = u64;
+
+/// Version of the routing table; grows with each change.
+pub type RoutingVersion = u64;
+
 /// Position of a task in its job, from 0.
 pub type TaskIndex = u16;
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,21 +4,30 @@
 //! Nothing here knows how a message is encoded or carried.
 
 mod answer;
+mod assignment;
+mod best_effort_job;
 mod configuration;
 mod contract;
+mod endpoint_report;
 mod exchange;
 mod ids;
 mod job;
 mod member;
 mod now;
 mod refusal;
+mod room;
+mod routing;
+mod step;
 mod table;
 mod task;
 
 pub use {
     answer::{JobAnswer, JobStatus, TaskAnswer, TaskOutcome},
+    assignment::{AssignedTask, Assignment, Revocation, StepTask, TaskId},
+    best_effort_job::{BestEffortJob, BestEffortJobError, MAX_PAYLOAD_BYTES, MAX_STEP_TASKS},
     configuration::{Configuration, DrainState, RowRevisions},
     contract::{Contract, ContractBuilder, ContractError, Overflow},
+    endpoint_report::{AgentUpdate, EndKind, EndpointInfo, Resync, TaskEnd},
     exchange::{
         Acknowledgement, AgentHello, Confirm, Confirmation, Fence, FenceReply, Finished, JobReply,
         KeyHash, KnownAgents, KnownRun, Lookup, LookupReply, RecordState, Reply, RunRecords,
@@ -30,6 +39,9 @@
     member::{Electorate, Member, MemberList, ShardOwner},
     now::Now,
     refusal::{Refusal, RefusalReason},
+    room::Room,
+    routing::{Route, RoutingTable, Service},
+    step::StepSpec,
     table::{TableRow, TableSnapshot, TableWrite, Versioned, WriteResult},
     task::{TaskRef, TaskSpec},
 };
--- a/crates/types/src/now.rs
+++ b/crates/types/src/now.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::Incarnation,
-    std::time::{Duration, Instant, SystemTime},
+    rustix::time::{ClockId, Timespec, clock_gettime},
+    std::{
+        sync::OnceLock,
+        time::{Duration, Instant, SystemTime},
+    },
 };
 
 /// One reading of both clocks, taken by a front end.
@@ -11,7 +15,8 @@
 /// processes are judged by `wall`.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
-    /// Monotonic clock of this process.
+    /// Monotonic clock of this process; it also counts the time for which the
+    /// worker was suspended.
     pub instant: Instant,
     /// Wall clock of this worker.
     pub wall: SystemTime,
@@ -22,7 +27,7 @@
     #[must_use]
     pub fn read() -> Self {
         Self {
-            instant: Instant::now(),
+            instant: Instant::now() + suspended(),
             wall: SystemTime::now(),
         }
     }
@@ -45,3 +50,26 @@
         }
     }
 }
+
+/// Returns for how long the worker was suspended since the first call.
+///
+/// `Instant` stands still while a worker is suspended; a lease at another
+/// worker does not.
+fn suspended() -> Duration {
+    static AT_FIRST: OnceLock<Duration> = OnceLock::new();
+    let lead = lead_of_boot_clock();
+    lead.saturating_sub(*AT_FIRST.get_or_init(|| lead))
+}
+
+/// Returns by how much the clock that counts suspension leads the other one.
+fn lead_of_boot_clock() -> Duration {
+    let steady = since_boot(clock_gettime(ClockId::Monotonic));
+    let boot = since_boot(clock_gettime(ClockId::Boottime));
+    boot.saturating_sub(steady)
+}
+
+fn since_boot(time: Timespec) -> Duration {
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanoseconds)
+}
