--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -70,6 +70,7 @@
             DispatchInput::AgentDown(agent) => self.agent_down(at, &agent),
             DispatchInput::Endpoint(agent, info) => self.endpoint(&agent, info),
             DispatchInput::Update(agent, update) => self.update(&agent, update),
+            DispatchInput::AnswerBy(by) => self.answer_by(by),
             DispatchInput::Tick => self.tick(at),
         }
         self.place(at);
@@ -117,6 +118,13 @@
             .insert(caller, HeldJob::new(submission, objective));
     }
 
+    fn answer_by(&mut self, by: Instant) {
+        for job in self.jobs.values_mut() {
+            job.deadline = job.deadline.min(by);
+            job.objective.last = job.objective.last.min(by);
+        }
+    }
+
     fn cancel(&mut self, id: &JobId) {
         let held = self.jobs.iter().find(|(_, held)| held.job.id == *id);
         if let Some(caller) = held.map(|(caller, _)| *caller) {
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::placement::{
-        CallerId, Submission,
+        Submission,
         held_task::{HeldTask, TaskState},
         objective::Objective,
     },
@@ -15,7 +15,6 @@
 /// A job that an entry holds until it ends.
 #[derive(Debug)]
 pub(crate) struct HeldJob {
-    pub(crate) caller: CallerId,
     pub(crate) route: Arc<Route>,
     pub(crate) job: Rc<BestEffortJob>,
     pub(crate) deadline: Instant,
@@ -35,7 +34,6 @@
             tasks.extend(of_step);
         }
         Self {
-            caller: submission.caller,
             route: submission.route,
             job: submission.job,
             deadline: submission.deadline,
--- a/crates/decisions/src/placement/messages.rs
+++ b/crates/decisions/src/placement/messages.rs
@@ -71,6 +71,8 @@
     Endpoint(AgentId, Option<EndpointInfo>),
     /// An agent tells of room and of ended tasks.
     Update(AgentId, AgentUpdate),
+    /// Every job that is held must have its answer by this moment.
+    AnswerBy(Instant),
     /// Time passed.
     Tick,
 }
--- /dev/null
+++ b/crates/decisions/tests/best_effort_site/endpoint.rs
@@ -0,0 +1,280 @@
+//! An endpoint that takes orders under leases and fencing tokens.
+
+use {
+    super::{Millis, judge::Judge},
+    chestnutrun_decisions::guard::{
+        Announcement, Answer, FencingToken, ListOrder, ListReply, ListedEnd, ListedRun, OrderFault,
+        RunEnd, StartOrder, StopOrder,
+    },
+    chestnutrun_types::{EndpointInfo, Room, TaskId},
+    indexmap::IndexMap,
+    std::time::Duration,
+};
+
+/// Longest lease that an endpoint grants.
+const LONGEST_LEASE: Millis = 1_000;
+
+/// Processor of an endpoint and of a task, in thousandths of a core.
+const CPU: u32 = 8_000;
+pub const TASK_CPU: u32 = 1_000;
+
+/// One run.
+#[derive(Clone, Debug)]
+struct Running {
+    task: TaskId,
+    began: Millis,
+    work: Millis,
+    stops_at: Option<Millis>,
+}
+
+/// An endpoint that takes orders under leases and fencing tokens.
+#[derive(Debug)]
+pub struct FakeEndpoint {
+    number: usize,
+    pub incarnation: u64,
+    pub is_up: bool,
+    pub is_leaving: bool,
+    pub fails_until: Millis,
+    pub stalls_until: Millis,
+    born: Millis,
+    sequence: u64,
+    token: FencingToken,
+    until: Millis,
+    runs: IndexMap<u64, Running>,
+    floors: IndexMap<TaskId, u64>,
+    ends: Vec<ListedEnd>,
+}
+
+impl FakeEndpoint {
+    pub fn new(number: usize) -> Self {
+        Self {
+            number,
+            incarnation: 1,
+            is_up: true,
+            is_leaving: false,
+            fails_until: 0,
+            stalls_until: 0,
+            born: 0,
+            sequence: 0,
+            token: 0,
+            until: 0,
+            runs: IndexMap::new(),
+            floors: IndexMap::new(),
+            ends: Vec::new(),
+        }
+    }
+
+    /// Ends the process; what runs is gone.
+    pub fn crash(&mut self, judge: &mut Judge) {
+        for (run, running) in std::mem::take(&mut self.runs) {
+            judge.ended(&running.task, self.number, run, false);
+        }
+        self.is_up = false;
+    }
+
+    pub fn restart(&mut self, at: Millis) {
+        *self = Self {
+            incarnation: self.incarnation + 1,
+            born: at,
+            ..Self::new(self.number)
+        };
+    }
+
+    pub fn announce(&mut self, at: Millis) -> Announcement {
+        self.sequence += 1;
+        Announcement {
+            info: EndpointInfo {
+                endpoint: format!("endpoint-{}", self.number).into(),
+                incarnation: self.incarnation,
+                service: "service".into(),
+                zone: "zone".into(),
+                labels: Vec::new(),
+                total: Room {
+                    cpu_millis: CPU,
+                    memory_mb: 1_000,
+                    accelerators: 0,
+                },
+            },
+            clock: Duration::from_millis(self.clock(at)),
+            sequence: self.sequence,
+            leaving: self.is_leaving,
+        }
+    }
+
+    /// Lets what is due happen.
+    pub fn advance(&mut self, at: Millis, judge: &mut Judge) {
+        let clock = self.clock(at);
+        let is_lapsed = self.until <= clock;
+        let is_stalled = at < self.stalls_until;
+        let does_fail = at < self.fails_until;
+        let mut over = Vec::new();
+        for (run, running) in &self.runs {
+            let how = if is_lapsed {
+                RunEnd::Lapsed
+            } else if running.stops_at.is_some_and(|stops_at| stops_at <= at) {
+                RunEnd::Stopped
+            } else if !is_stalled && running.began + running.work <= at {
+                if does_fail {
+                    RunEnd::Failed
+                } else {
+                    RunEnd::Done
+                }
+            } else {
+                continue;
+            };
+            over.push((*run, how));
+        }
+        for (run, how) in over {
+            self.end(run, how, judge);
+        }
+    }
+
+    fn end(&mut self, run: u64, how: RunEnd, judge: &mut Judge) {
+        let Some(running) = self.runs.shift_remove(&run) else {
+            return;
+        };
+        judge.ended(&running.task, self.number, run, how == RunEnd::Done);
+        let floor = self.floors.entry(running.task.clone()).or_default();
+        *floor = (*floor).max(run);
+        let number = u64::try_from(self.ends.len()).unwrap() + 1;
+        self.ends.push(ListedEnd {
+            number,
+            task: running.task,
+            run,
+            how,
+        });
+    }
+
+    pub fn start(
+        &mut self,
+        at: Millis,
+        order: &StartOrder,
+        work: Millis,
+        judge: &mut Judge,
+    ) -> Answer<()> {
+        self.advance(at, judge);
+        if let Some(fault) = self.check(order.incarnation, order.token) {
+            return self.refused(at, fault);
+        }
+        let until = u64::try_from(order.until.as_millis()).unwrap();
+        if until <= self.clock(at) {
+            return self.refused(at, OrderFault::LeaseOver);
+        }
+        self.renew(at, until);
+        if self
+            .floors
+            .get(&order.task)
+            .is_some_and(|floor| order.run <= *floor)
+        {
+            return self.refused(at, OrderFault::OldRun);
+        }
+        if self.runs.contains_key(&order.run) {
+            return self.done(at, ());
+        }
+        let held = u32::try_from(self.runs.len()).unwrap() * TASK_CPU;
+        if held + TASK_CPU > CPU {
+            return self.refused(at, OrderFault::NoRoom);
+        }
+        judge.began(at, &order.task, self.number, order.run);
+        let running = Running {
+            task: order.task.clone(),
+            began: at,
+            work,
+            stops_at: None,
+        };
+        self.runs.insert(order.run, running);
+        self.done(at, ())
+    }
+
+    pub fn stop(
+        &mut self,
+        at: Millis,
+        order: &StopOrder,
+        takes: Millis,
+        judge: &mut Judge,
+    ) -> Answer<()> {
+        self.advance(at, judge);
+        if let Some(fault) = self.check(order.incarnation, order.token) {
+            return self.refused(at, fault);
+        }
+        let floor = self.floors.entry(order.task.clone()).or_default();
+        *floor = (*floor).max(order.run);
+        if let Some(running) = self.runs.get_mut(&order.run) {
+            running.stops_at = Some(running.stops_at.unwrap_or(at + takes));
+        }
+        self.done(at, ())
+    }
+
+    pub fn list(&mut self, at: Millis, order: &ListOrder, judge: &mut Judge) -> Answer<ListReply> {
+        self.advance(at, judge);
+        if let Some(fault) = self.check(order.incarnation, order.token) {
+            return match self.refused(at, fault) {
+                Answer::Refused(clock, fault) => Answer::Refused(clock, fault),
+                Answer::Done(..) | Answer::Unknown => Answer::Unknown,
+            };
+        }
+        if let Some(until) = order.until {
+            self.renew(at, u64::try_from(until.as_millis()).unwrap());
+        }
+        let running = self.runs.iter().map(|(run, running)| ListedRun {
+            task: running.task.clone(),
+            run: *run,
+            percent: self.percent(at, running),
+        });
+        let running = running.collect();
+        let ended = self
+            .ends
+            .iter()
+            .filter(|end| end.number > order.seen)
+            .cloned()
+            .collect();
+        self.done(at, ListReply { running, ended })
+    }
+
+    /// Whether an order that waits for ends would be answered now.
+    pub fn has_ends(&self, order: &ListOrder) -> bool {
+        self.ends.iter().any(|end| end.number > order.seen)
+    }
+
+    fn percent(&self, at: Millis, running: &Running) -> u32 {
+        if at < self.stalls_until {
+            return 1;
+        }
+        let share = (at - running.began) * 100 / running.work.max(1);
+        u32::try_from(share.min(99)).unwrap()
+    }
+
+    fn check(&mut self, incarnation: u64, token: FencingToken) -> Option<OrderFault> {
+        if incarnation != self.incarnation {
+            return Some(OrderFault::OtherIncarnation);
+        }
+        if token < self.token {
+            return Some(OrderFault::StaleToken);
+        }
+        self.token = token;
+        None
+    }
+
+    fn renew(&mut self, at: Millis, until: Millis) {
+        let longest = self.clock(at) + LONGEST_LEASE;
+        self.until = self.until.max(until.min(longest));
+    }
+
+    fn done<T>(&self, at: Millis, value: T) -> Answer<T> {
+        Answer::Done(Duration::from_millis(self.clock(at)), value)
+    }
+
+    fn refused(&self, at: Millis, fault: OrderFault) -> Answer<()> {
+        Answer::Refused(Some(Duration::from_millis(self.clock(at))), fault)
+    }
+
+    /// The clock is 2% slow at every second endpoint.
+    fn clock(&self, at: Millis) -> Millis {
+        let age = at - self.born;
+        if self.number.is_multiple_of(2) {
+            age
+        } else {
+            age * 98 / 100
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/best_effort_site/judge.rs
@@ -0,0 +1,79 @@
+//! What must hold, as callers and endpoints see it.
+
+use {
+    super::Millis,
+    chestnutrun_decisions::placement::JobOutcome,
+    chestnutrun_types::{JobId, TaskId},
+    indexmap::{IndexMap, IndexSet},
+};
+
+/// What callers and endpoints saw.
+#[derive(Debug, Default)]
+pub struct Judge {
+    running: IndexMap<TaskId, (usize, u64)>,
+    started: IndexSet<JobId>,
+    done: IndexSet<TaskId>,
+    /// Attempts that callers made, and those that were refused.
+    attempts: IndexMap<JobId, (u32, u32)>,
+    pub outcomes: IndexMap<&'static str, u32>,
+}
+
+impl Judge {
+    pub fn submitted(&mut self, job: &JobId) {
+        self.attempts.entry(job.clone()).or_default().0 += 1;
+    }
+
+    pub fn answered(&mut self, at: Millis, job: &JobId, width: u16, outcome: JobOutcome) {
+        let name = match outcome {
+            JobOutcome::Completed => {
+                let done = self.done.iter().filter(|task| task.job == *job).count();
+                assert_eq!(
+                    done,
+                    usize::from(width),
+                    "{at}: {job} completed, tasks that did"
+                );
+                "completed"
+            }
+            JobOutcome::Failed => "failed",
+            JobOutcome::Refused(..) => {
+                self.attempts.entry(job.clone()).or_default().1 += 1;
+                "refused"
+            }
+            JobOutcome::Expired => "expired",
+            JobOutcome::Cancelled => "cancelled",
+        };
+        *self.outcomes.entry(name).or_default() += 1;
+    }
+
+    /// An endpoint that is up began a run.
+    pub fn began(&mut self, at: Millis, task: &TaskId, endpoint: usize, run: u64) {
+        self.started.insert(task.job.clone());
+        let other = self.running.insert(task.clone(), (endpoint, run));
+        assert_eq!(
+            other, None,
+            "{at}: {task} began at {endpoint} as {run} while it ran"
+        );
+    }
+
+    /// A run is over, or its endpoint is.
+    pub fn ended(&mut self, task: &TaskId, endpoint: usize, run: u64, is_done: bool) {
+        if self.running.get(task) == Some(&(endpoint, run)) {
+            self.running.swap_remove(task);
+        }
+        if is_done {
+            self.done.insert(task.clone());
+        }
+    }
+
+    /// Checks what can be told only at the end.
+    pub fn finish(&self) {
+        assert!(self.running.is_empty(), "still running: {:?}", self.running);
+        for (job, (attempts, refused)) in &self.attempts {
+            let is_refused = attempts == refused;
+            assert!(
+                !is_refused || !self.started.contains(job),
+                "{job} was refused and ran"
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/best_effort_site/mod.rs
@@ -0,0 +1,10 @@
+//! Entries, agents and endpoints of best-effort jobs on a handed-in clock.
+
+mod endpoint;
+mod judge;
+mod site;
+
+pub use site::Site;
+
+/// Time of a run, in milliseconds.
+pub type Millis = u64;
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -46,6 +46,9 @@
 /// Time of the platform's grace that is kept for the end of the process.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long the last answers get to leave.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// What an entry's loop is told at its start.
 #[derive(Debug)]
 pub struct EntryLoopConf {
@@ -72,6 +75,8 @@
 struct Leaving {
     accept_until: Instant,
     quiet_at: Instant,
+    /// Moment at which every job that is left gets its answer.
+    answer_by: Instant,
     end_by: Instant,
 }
 
@@ -183,11 +188,14 @@
             self.callers.len()
         );
         self.desk.start_closing();
+        let answer_by = now + self.grace.saturating_sub(END_MARGIN + ANSWER_MARGIN);
         self.leaving = Some(Leaving {
             accept_until: now + ACCEPT_WHILE_LEAVING,
             quiet_at: now,
-            end_by: now + self.grace.saturating_sub(END_MARGIN),
+            answer_by,
+            end_by: answer_by + ANSWER_MARGIN,
         });
+        self.input(DispatchInput::AnswerBy(answer_by));
         ntex::rt::spawn(self.directory.remove(self.me.clone()));
     }
 
@@ -220,9 +228,10 @@
     fn caller_event(&mut self, event: CallerEvent) {
         // An asker who went away needs no reply.
         match event {
-            CallerEvent::Submit(submission, reply) => {
+            CallerEvent::Submit(mut submission, reply) => {
                 if let Some(leaving) = &mut self.leaving {
                     leaving.quiet_at = Now::read().instant + QUIET_BEFORE_END;
+                    submission.deadline = submission.deadline.min(leaving.answer_by);
                 }
                 self.callers.insert(submission.caller, reply);
                 self.input(DispatchInput::Submit(submission));
@@ -290,7 +299,12 @@
     fn link_up(&mut self, link: Link, peer: PeerName) {
         let id = link.id();
         let peer = match peer {
-            PeerName::Accepted(Hello::Guard(hello)) => Peer::Agent(hello.agent, hello.incarnation),
+            PeerName::Accepted(Hello::Guard(hello)) => {
+                // Nothing may be assigned on the new link before the agent told
+                // there what it has.
+                self.input(DispatchInput::AgentDown(hello.agent.clone()));
+                Peer::Agent(hello.agent, hello.incarnation)
+            }
             PeerName::Accepted(Hello::Entry(member)) => {
                 let now = Now::read().instant;
                 self.dialers
--- a/crates/dispatch/src/entry_peers.rs
+++ b/crates/dispatch/src/entry_peers.rs
@@ -100,8 +100,4 @@
     pub(crate) fn entry_addresses(&self) -> Vec<SocketAddr> {
         self.entries().iter().map(|member| member.inner).collect()
     }
-
-    pub(crate) fn agents(&self) -> usize {
-        self.agents.len()
-    }
 }
