--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -16,8 +16,8 @@
         },
     },
     chestnutrun_types::{
-        AgentUpdate, Assignment, DecisionNote, EndKind, EndpointId, EndpointInfo, EntryId, Incarnation, Now, Resync,
-        Revocation, Room, RunNumber, TaskId, ZoneId,
+        AgentUpdate, Assignment, DecisionNote, EndKind, EndpointId, EndpointInfo, EntryId,
+        Incarnation, Now, Resync, Revocation, Room, RunNumber, TaskId, ZoneId,
     },
     indexmap::IndexMap,
     std::time::{Duration, Instant},
@@ -104,16 +104,17 @@
         !self.is_leaving && endpoint.is_some_and(|e| e.takes_work(now))
     }
 
-    /// Returns when an update that was held back is due.
+    /// Returns when an update that was held back is due, or a task has waited
+    /// long enough.
     #[must_use]
-    pub fn report_at(&self, now: Instant) -> Option<Instant> {
+    pub fn wake_at(&self, now: Instant) -> Option<Instant> {
         let room = self.room(now);
         let zone = self.zone();
         let due = self
             .entries
             .values()
             .filter_map(|e| e.report_at(now, &zone, room));
-        due.min()
+        due.chain(self.runs.first_start_by()).min()
     }
 
     fn announced(&mut self, now: Instant, announcement: Announcement) {
@@ -493,7 +494,7 @@
         }
         let late = self
             .runs
-            .keys(|run| matches!(run.phase, Phase::Waiting(by) if by < now));
+            .keys(|run| matches!(run.phase, Phase::Waiting(by) if by <= now));
         for key in late {
             self.finish(now, &key, EndKind::NotStarted);
         }
@@ -585,12 +586,7 @@
     }
 
     /// Stops a run that this agent did not start or has given up.
-    fn order_foreign_stop(
-        &mut self,
-        now: Instant,
-        task: TaskId,
-        run: RunNumber,
-    ) {
+    fn order_foreign_stop(&mut self, now: Instant, task: TaskId, run: RunNumber) {
         if let Some(endpoint) = &self.endpoint {
             self.actions.push(GuardAction::Stop(StopOrder {
                 endpoint: endpoint.info.endpoint.clone(),
--- a/crates/decisions/src/guard/messages.rs
+++ b/crates/decisions/src/guard/messages.rs
@@ -3,8 +3,8 @@
 use {
     crate::guard::EndpointTime,
     chestnutrun_types::{
-        AgentUpdate, Assignment, DecisionNote, EndpointId, EndpointInfo, EntryId, Incarnation, Resync,
-        Revocation, RunNumber, TaskId, ZoneId,
+        AgentUpdate, Assignment, DecisionNote, EndpointId, EndpointInfo, EntryId, Incarnation,
+        Resync, Revocation, RunNumber, TaskId, ZoneId,
     },
     std::{
         sync::Arc,
--- a/crates/decisions/src/guard/runs.rs
+++ b/crates/decisions/src/guard/runs.rs
@@ -4,6 +4,7 @@
     crate::guard::run::{Phase, Run, RunKey},
     chestnutrun_types::{Room, RunNumber, TaskId},
     indexmap::IndexMap,
+    std::time::Instant,
 };
 
 /// The tasks that entries assigned and that have not ended.
@@ -74,6 +75,15 @@
         waiting.into_iter().map(|(_, key)| key.clone()).collect()
     }
 
+    /// Returns the moment at which the first waiting task has waited enough.
+    pub(crate) fn first_start_by(&self) -> Option<Instant> {
+        let waiting = self.by_key.values().filter_map(|run| match run.phase {
+            Phase::Waiting(start_by) => Some(start_by),
+            _ => None,
+        });
+        waiting.min()
+    }
+
     /// Returns the room that tasks hold at the endpoint.
     pub(crate) fn held(&self) -> Room {
         self.sum(Run::is_at_endpoint)
--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -14,8 +14,9 @@
         timing::AGENT_SILENT_RUNS_END_AFTER,
     },
     chestnutrun_types::{
-        AgentId, AgentUpdate, AssignedTask, Assignment, AssignmentId, DecisionNote, EndKind, EndpointInfo,
-        Incarnation, JobId, Now, Resync, Revocation, Room, ServiceId, StepTask, TaskEnd, ZoneId,
+        AgentId, AgentUpdate, AssignedTask, Assignment, AssignmentId, DecisionNote, EndKind,
+        EndpointInfo, Incarnation, JobId, Now, Resync, Revocation, Room, ServiceId, StepTask,
+        TaskEnd, ZoneId,
     },
     indexmap::IndexMap,
     std::time::{Duration, Instant},
@@ -24,12 +25,12 @@
 /// Shortest time after which a refused caller should come back.
 const LEAST_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Longest time for which assigned tasks may wait at an agent: others of the
-/// job run meanwhile, and another endpoint may have room.
-const LONGEST_WAIT_AT_AGENT: Duration = Duration::from_millis(100);
+/// Longest time for which assigned tasks may wait at an agent: two ends of
+/// tasks of some 170 ms on ten slots; another endpoint may have room.
+const LONGEST_WAIT_AT_AGENT: Duration = Duration::from_millis(30);
 
-/// Shortest such time: a round trip between availability zones, ten times.
-const LEAST_WAIT_AT_AGENT: Duration = Duration::from_millis(20);
+/// Shortest such time: a round trip between availability zones, five times.
+const LEAST_WAIT_AT_AGENT: Duration = Duration::from_millis(10);
 
 /// Time by which a job of the next lower priority comes later than its start
 /// demands: a priority outweighs half of the slack of the shortest jobs.
@@ -112,7 +113,10 @@
     /// Returns how many endpoints can be used.
     #[must_use]
     pub fn endpoints(&self) -> usize {
-        self.views.values().filter(|view| view.usable().is_some()).count()
+        self.views
+            .values()
+            .filter(|view| view.usable().is_some())
+            .count()
     }
 
     /// Whether an agent with an endpoint is linked.
--- a/crates/decisions/src/placement/endpoint_view.rs
+++ b/crates/decisions/src/placement/endpoint_view.rs
@@ -2,7 +2,10 @@
 
 use {
     chestnutrun_types::{AgentUpdate, AssignmentId, EndpointInfo, Incarnation, Room},
-    std::{collections::VecDeque, time::{Duration, Instant}},
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
 };
 
 /// What an entry claimed with one assignment.
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -7,7 +7,8 @@
         objective::{Objective, millis},
     },
     chestnutrun_types::{
-        AgentId, AssignmentId, BestEffortJob, DecisionNote, Route, RunNumber, StepIndex, StepSpec, StepTask,
+        AgentId, AssignmentId, BestEffortJob, DecisionNote, Route, RunNumber, StepIndex, StepSpec,
+        StepTask,
     },
     std::{rc::Rc, sync::Arc, time::Instant},
 };
@@ -63,7 +64,10 @@
     /// Returns what is written down when the caller has its answer.
     pub(crate) fn answered(&self, now: Instant, outcome: JobOutcome) -> DecisionNote {
         let since = |at: Instant| millis(at.saturating_duration_since(self.came_at));
-        let done = self.tasks.iter().filter(|task| task.state == TaskState::Done);
+        let done = self
+            .tasks
+            .iter()
+            .filter(|task| task.state == TaskState::Done);
         DecisionNote::JobAnswered {
             job: self.job.id.clone(),
             route: self.route.id.clone(),
--- a/crates/decisions/src/placement/messages.rs
+++ b/crates/decisions/src/placement/messages.rs
@@ -2,8 +2,8 @@
 
 use {
     chestnutrun_types::{
-        AgentId, AgentUpdate, Assignment, BestEffortJob, DecisionNote, EndpointInfo, Incarnation, JobId, Resync,
-        Revocation, Route,
+        AgentId, AgentUpdate, Assignment, BestEffortJob, DecisionNote, EndpointInfo, Incarnation,
+        JobId, Resync, Revocation, Route,
     },
     std::{
         rc::Rc,
--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -153,12 +153,12 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.recorder.process("started", 0);
         while !self.is_done() {
-            let report_at = self.guard.report_at(Now::read().instant);
+            let wake_at = self.guard.wake_at(Now::read().instant);
             tokio::select! {
                 Some(event) = rx.recv() => self.event(event),
                 Some(event) = links.recv() => self.link_event(event),
                 Some(event) = news.recv() => self.directory_news(event),
-                () = until(report_at) => self.input(GuardInput::Tick),
+                () = until(wake_at) => self.input(GuardInput::Tick),
                 _ = tick.tick() => self.tick(),
                 _ = terminate.recv() => self.leave(),
                 _ = reload.recv() => self.reload(),
@@ -205,7 +205,8 @@
             }
             Err(error) => {
                 log::error!("settings stay as they are: {error}");
-                self.recorder.process("settings-refused", self.guard.tasks());
+                self.recorder
+                    .process("settings-refused", self.guard.tasks());
             }
         }
     }
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -222,7 +222,8 @@
             }
             Err(error) => {
                 log::error!("settings stay as they are: {error}");
-                self.recorder.process("settings-refused", self.callers.len());
+                self.recorder
+                    .process("settings-refused", self.callers.len());
             }
         }
     }
@@ -449,7 +450,6 @@
             }
         }
     }
-
 }
 
 fn as_u64(count: usize) -> u64 {
--- a/crates/observe/src/decision_log.rs
+++ b/crates/observe/src/decision_log.rs
@@ -81,7 +81,8 @@
         self.count_second(now);
         self.sequence += 1;
         let is_common = !note.is_remarkable();
-        let is_over = self.lines >= MAX_LINES || (is_common && self.common_lines >= MAX_COMMON_LINES);
+        let is_over =
+            self.lines >= MAX_LINES || (is_common && self.common_lines >= MAX_COMMON_LINES);
         if is_over || self.buffered.len() >= MAX_BUFFERED_BYTES {
             self.left_out += 1;
             return;
@@ -155,6 +156,8 @@
 }
 
 fn micros(of: SystemTime) -> u64 {
-    let since_epoch = of.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let since_epoch = of
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/observe/src/dispatch_metrics.rs
+++ b/crates/observe/src/dispatch_metrics.rs
@@ -101,7 +101,8 @@
                 let route = KeyValue::new("route", self.route(route));
                 let outcome = KeyValue::new("outcome", outcome.to_string());
                 self.jobs.add(1, &[route.clone(), outcome]);
-                self.response_times.record(seconds(*took_ms), std::slice::from_ref(&route));
+                self.response_times
+                    .record(seconds(*took_ms), std::slice::from_ref(&route));
                 if let Some(wait) = placed_after_ms {
                     self.waits.record(seconds(*wait), &[route]);
                 }
