--- a/crates/cli/src/arguments/command.rs
+++ b/crates/cli/src/arguments/command.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::arguments::{
-        CallerOptions, Common, ContractTerms, JobSource, OperatorOptions, TimelineOptions,
+        CallerOptions, Common, ContractTerms, ExplainOptions, JobSource, OperatorOptions,
+        TimelineOptions,
         caller_options::{caller_options, common},
         contract_terms::contract_terms,
+        explain_options::explain_options,
         job_source::job_source,
         operator_options::operator_options,
         timeline_options::timeline_options,
@@ -126,6 +128,9 @@
         #[bpaf(external(timeline_options))]
         options: TimelineOptions,
     },
+    /// Explain from logs why a best-effort job ended as it did, or list jobs.
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
     /// Check settings files of entries, agents and this command.
     #[bpaf(command("check-config"))]
     CheckConfig {
--- a/crates/cli/src/arguments/mod.rs
+++ b/crates/cli/src/arguments/mod.rs
@@ -3,6 +3,7 @@
 mod caller_options;
 mod command;
 mod contract_terms;
+mod explain_options;
 mod job_source;
 mod operator_options;
 mod timeline_options;
@@ -11,6 +12,7 @@
     caller_options::{CallerOptions, Common},
     command::{Command, ContractCommand, command},
     contract_terms::ContractTerms,
+    explain_options::ExplainOptions,
     job_source::JobSource,
     operator_options::OperatorOptions,
     timeline_options::{TimelineFormat, TimelineOptions},
--- a/crates/cli/src/operators/mod.rs
+++ b/crates/cli/src/operators/mod.rs
@@ -4,6 +4,7 @@
 mod check_config;
 mod contracts;
 mod drain;
+mod explain;
 mod gather;
 mod in_force;
 mod status;
@@ -14,6 +15,7 @@
     check_config::check_config,
     contracts::{list_contracts, show_contract, show_history},
     drain::{drain, undrain},
+    explain::explain,
     status::status,
     timeline::timeline,
 };
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -38,7 +38,7 @@
             | Self::Status { common, .. }
             | Self::Timeline { common, .. } => common.json,
             Self::Contract(command) => command.wants_json(),
-            Self::CheckConfig { .. } => false,
+            Self::Explain(_) | Self::CheckConfig { .. } => false,
         }
     }
 }
@@ -92,6 +92,7 @@
             common,
             options,
         } => operators::timeline(operator, &common, options).await,
+        Command::Explain(options) => operators::explain(&options),
         Command::CheckConfig { files } => operators::check_config(&files),
     }
 }
--- a/crates/decisions/src/front/front_machine.rs
+++ b/crates/decisions/src/front/front_machine.rs
@@ -62,6 +62,16 @@
         self.pending.len()
     }
 
+    /// Whether someone waits for this reply; one that comes again finds nobody.
+    #[must_use]
+    pub fn waits_for(&self, reply: &JobReply) -> bool {
+        let key = |digest| PendingKey {
+            job: reply.job.clone(),
+            digest,
+        };
+        self.pending.contains_key(&key(reply.digest)) || self.pending.contains_key(&key(None))
+    }
+
     /// Returns the owner of each shard, as far as known.
     pub fn owners(&self) -> impl Iterator<Item = &ShardOwner> {
         self.owners.values()
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -9,6 +9,15 @@
     std::time::Instant,
 };
 
+/// The list orders that are out.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ListsOut {
+    /// One that waits for ends.
+    pub(crate) poll: bool,
+    /// One that does not wait.
+    pub(crate) look: bool,
+}
+
 /// What an agent knows of its endpoint.
 #[derive(Debug)]
 pub(crate) struct EndpointState {
@@ -24,10 +33,8 @@
     pub(crate) seen: EndNumber,
     /// When the endpoint last answered or announced itself.
     pub(crate) heard_at: Instant,
-    /// Whether a list order that waits for ends is out.
-    pub(crate) is_polled: bool,
-    /// Whether a list order that does not wait is out.
-    pub(crate) is_looked_at: bool,
+    /// The list orders that are out.
+    pub(crate) lists: ListsOut,
     /// Moment until which no start is tried, after one was refused for room.
     pub(crate) full_until: Option<Instant>,
 }
@@ -43,8 +50,7 @@
             is_clean: false,
             seen: 0,
             heard_at: now,
-            is_polled: false,
-            is_looked_at: false,
+            lists: ListsOut::default(),
             full_until: None,
         }
     }
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -71,7 +71,7 @@
             GuardInput::Proven(entry, proven_at) => self.proven(&entry, proven_at),
             GuardInput::Assign(entry, assignment) => self.assign(at, &entry, assignment),
             GuardInput::Revoke(entry, revocation) => self.revoke(at, &entry, &revocation),
-            GuardInput::Started(endpoint, run, answer) => self.started(at, endpoint, run, answer),
+            GuardInput::Started(endpoint, run, answer) => self.started(at, endpoint, run, &answer),
             GuardInput::Stopped(endpoint, run, answer) => self.stopped(at, endpoint, run, &answer),
             GuardInput::Listed(endpoint, order, answer) => {
                 self.listed(at, endpoint, &order, answer);
@@ -274,9 +274,9 @@
         now: Instant,
         endpoint: Incarnation,
         number: RunNumber,
-        answer: Answer<()>,
+        answer: &Answer<()>,
     ) {
-        if !self.note_clock(now, endpoint, &answer) {
+        if !self.note_clock(now, endpoint, answer) {
             return;
         }
         let Some(run) = self.runs.numbered(number) else {
@@ -299,7 +299,7 @@
             }
             Answer::Refused(_, fault) => {
                 self.note_refused_start(&key, fault.name());
-                self.start_refused(now, &key, fault);
+                self.start_refused(now, &key, *fault);
             }
         }
     }
@@ -373,9 +373,9 @@
             return;
         };
         if order.wait.is_zero() {
-            endpoint.is_looked_at = false;
+            endpoint.lists.look = false;
         } else {
-            endpoint.is_polled = false;
+            endpoint.lists.poll = false;
         }
         match answer {
             Answer::Done(_, reply) => {
@@ -707,10 +707,10 @@
         let Some(endpoint) = &mut self.endpoint else {
             return;
         };
-        if endpoint.is_polled {
+        if endpoint.lists.poll {
             return;
         }
-        endpoint.is_polled = true;
+        endpoint.lists.poll = true;
         let wait = match (is_busy, endpoint.is_clean) {
             (_, false) => POLL_WAIT / 4,
             (true, true) => POLL_WAIT,
@@ -722,9 +722,9 @@
     /// Asks once for what runs, without a wait.
     fn look(&mut self, now: Instant) {
         if let Some(endpoint) = &mut self.endpoint
-            && !endpoint.is_looked_at
+            && !endpoint.lists.look
         {
-            endpoint.is_looked_at = true;
+            endpoint.lists.look = true;
             self.list(now, Duration::ZERO);
         }
     }
--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -81,7 +81,7 @@
             DispatchInput::Submit(submission) => self.submit(at, submission),
             DispatchInput::Gone(caller) => self.caller_gone(at, caller),
             DispatchInput::Cancel(job) => self.cancel(at, &job),
-            DispatchInput::AgentUp(agent, run, resync) => self.agent_up(at, agent, run, resync),
+            DispatchInput::AgentUp(agent, run, resync) => self.agent_up(at, &agent, run, resync),
             DispatchInput::AgentDown(agent) => self.agent_down(at, &agent),
             DispatchInput::Endpoint(agent, info) => self.endpoint(&agent, info),
             DispatchInput::Update(agent, update) => self.update(at, &agent, update),
@@ -176,12 +176,18 @@
         }
     }
 
-    fn agent_up(&mut self, now: Instant, agent: AgentId, incarnation: Incarnation, resync: Resync) {
-        let known = self.views.get(&agent);
+    fn agent_up(
+        &mut self,
+        now: Instant,
+        agent: &AgentId,
+        incarnation: Incarnation,
+        resync: Resync,
+    ) {
+        let known = self.views.get(agent);
         let is_same = known.is_some_and(|view| view.incarnation == incarnation);
         let has_endpoint = resync.info.is_some();
         if !is_same {
-            self.agent_down(now, &agent);
+            self.agent_down(now, agent);
         }
         self.note(DecisionNote::AgentLinked {
             agent: agent.clone(),
@@ -192,9 +198,9 @@
         let view = EndpointView::new(incarnation, resync.info);
         self.views.insert(agent.clone(), view);
         if is_same {
-            self.resync(now, &agent, &resync.live, resync.ends);
+            self.resync(now, agent, &resync.live, resync.ends);
         } else if has_endpoint {
-            self.release_doubtful(&agent);
+            self.release_doubtful(agent);
         }
     }
 
@@ -304,7 +310,7 @@
     fn update(&mut self, now: Instant, agent: &AgentId, mut update: AgentUpdate) {
         let ends = std::mem::take(&mut update.ends);
         if let Some(view) = self.views.get_mut(agent) {
-            view.update(now, update);
+            view.update(now, &update);
         }
         for end in ends {
             self.ended(now, agent, end);
--- a/crates/decisions/src/placement/endpoint_view.rs
+++ b/crates/decisions/src/placement/endpoint_view.rs
@@ -41,7 +41,7 @@
     }
 
     /// Takes what the agent tells of its room.
-    pub(crate) fn update(&mut self, now: Instant, update: AgentUpdate) {
+    pub(crate) fn update(&mut self, now: Instant, update: &AgentUpdate) {
         self.told_at = Some(now);
         while self
             .claims
@@ -52,7 +52,7 @@
         }
         self.told = AgentUpdate {
             ends: Vec::new(),
-            ..update
+            ..*update
         };
     }
 
--- a/crates/decisions/tests/best_effort_site/site.rs
+++ b/crates/decisions/tests/best_effort_site/site.rs
@@ -253,7 +253,7 @@
             Event::Heal(agent, entry, generation) => self.heal(agent, entry, generation),
             Event::Process(node, run, input) => self.process(node, run, input),
             Event::Order(agent, run, order, is_answered) => {
-                self.order(agent, run, order, is_answered)
+                self.order(agent, run, order, is_answered);
             }
             Event::GiveUpOrder(agent, run, order) => self.give_up_order(agent, run, order),
             Event::CallerLeaves(caller) => self.caller_leaves(caller),
@@ -652,16 +652,11 @@
 
     fn send_agent(&mut self, agent: usize, entry: usize, input: Input) {
         if self.links[agent][entry].is_open {
-            let delay = self.delay(agent, entry);
+            let delay = delay(agent, entry);
             self.tell(Node::Agent(agent), delay, input);
         }
     }
 
-    /// Messages on one link keep their order.
-    fn delay(&mut self, agent: usize, entry: usize) -> Millis {
-        1 + u64::try_from((agent + entry) % 3).unwrap()
-    }
-
     fn agent_input(&mut self, number: usize, input: Input) {
         let input = match input {
             Input::Tick => {
@@ -721,7 +716,7 @@
                 let entry = entry_number(&entry);
                 let link = self.links[number][entry];
                 if link.is_open {
-                    let delay = self.delay(number, entry);
+                    let delay = delay(number, entry);
                     let input = Input::FromAgent(number, link.generation, message);
                     self.tell(Node::Entry(entry), delay, input);
                 }
@@ -825,6 +820,11 @@
     }
 }
 
+/// Messages on one link keep their order.
+fn delay(agent: usize, entry: usize) -> Millis {
+    1 + u64::try_from((agent + entry) % 3).unwrap()
+}
+
 fn new_entry(run: u64) -> FakeEntry {
     FakeEntry {
         machine: Dispatcher::new("zone".into()),
--- a/crates/entry/src/daemon/links_side.rs
+++ b/crates/entry/src/daemon/links_side.rs
@@ -196,7 +196,7 @@
             Message::Ask(job) => self.take_request(entry, Request::Ask(job)),
             Message::Cancel(job) => self.take_request(entry, Request::Cancel(job)),
             Message::Reply(reply) => {
-                self.note_reply(&reply.job, &reply.reply);
+                self.note_reply(&reply);
                 self.front_input(FrontInput::Reply(reply));
             }
             Message::Owner(owner) => self.entry_says(entry, EntryMessage::Owner(owner)),
--- a/crates/entry/src/daemon/observation.rs
+++ b/crates/entry/src/daemon/observation.rs
@@ -8,7 +8,7 @@
     },
     chestnutrun_observe::EventKind,
     chestnutrun_table::TableError,
-    chestnutrun_types::{JobRef, Reply, ShardId, WriteResult},
+    chestnutrun_types::{JobRef, JobReply, Reply, ShardId, WriteResult},
     std::time::{Instant, SystemTime},
 };
 
@@ -31,7 +31,14 @@
     }
 
     /// Notes an owner's reply at the entry whose caller asked.
-    pub(super) fn note_reply(&mut self, job: &JobRef, reply: &Reply) {
+    ///
+    /// A submission that was sent again is replied to twice; only the reply
+    /// that someone waits for tells the caller anything.
+    pub(super) fn note_reply(&mut self, told: &JobReply) {
+        if !self.front.waits_for(told) {
+            return;
+        }
+        let (job, reply) = (&told.job, &told.reply);
         let kind = match reply {
             Reply::Answered(_) => EventKind::Answered,
             Reply::Accepted => EventKind::Receipt,
--- a/crates/entry/src/daemon/shards_side.rs
+++ b/crates/entry/src/daemon/shards_side.rs
@@ -97,7 +97,7 @@
 
     fn reply_to(&mut self, entry: &EntryId, reply: JobReply) {
         if *entry == self.me.entry {
-            self.note_reply(&reply.job, &reply.reply);
+            self.note_reply(&reply);
             self.front_input(FrontInput::Reply(reply));
         } else {
             self.answer_entry(entry, Message::Reply(reply));
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -7,6 +7,7 @@
 mod logs;
 mod metrics;
 mod stopwatch;
+mod story;
 mod timeline;
 
 pub use {
@@ -16,5 +17,6 @@
     logs::start_logs,
     metrics::{Metrics, MetricsError},
     stopwatch::Stopwatch,
+    story::{JobSummary, Story, summaries},
     timeline::Timeline,
 };
