--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -557,7 +557,7 @@
             Phase::Starting | Phase::Running => {
                 run.phase = Phase::Stopping;
                 run.end_as = kind;
-                let note = DecisionNote::RunStopped {
+                let note = DecisionNote::TaskStopped {
                     job: run.task.job.clone(),
                     task: run.task.at,
                     run: run.number,
@@ -605,7 +605,7 @@
             return;
         };
         let end = run.end(now, kind);
-        self.note(DecisionNote::RunEnded {
+        self.note(DecisionNote::TaskEnded {
             job: run.task.job.clone(),
             task: run.task.at,
             run: run.number,
@@ -689,7 +689,7 @@
             token: self.token,
             answer_by: now + ORDER_TIMEOUT,
         }));
-        let note = DecisionNote::RunStarted {
+        let note = DecisionNote::TaskStarted {
             job: run.task.job.clone(),
             task: run.task.at,
             run: number,
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::problem::Problem,
+    chestnutrun_net::collect_body,
     chestnutrun_settings::RequestLimits,
     ntex::{
         http::{StatusCode, header},
@@ -12,10 +13,6 @@
     tokio::time::timeout,
 };
 
-/// Most that is read of a body beyond its limit, as a multiple of the limit,
-/// so that the caller gets the response rather than a reset connection.
-const MAX_DISCARDED_BODIES: usize = 4;
-
 /// Longest body that is dropped for a response, in bytes.
 const MAX_DISCARDED: usize = 1024 * 1024;
 
@@ -29,7 +26,7 @@
     limits: &RequestLimits,
 ) -> Result<BytesMut, Problem> {
     let declared = content_length(req).unwrap_or_default();
-    let reading = collect(payload, limits.body_size.bytes(), declared);
+    let reading = collect_body(payload, limits.body_size.bytes(), declared);
     match timeout(limits.body_timeout, reading).await {
         Ok(Ok(Some(buf))) => Ok(buf),
         Ok(Ok(None)) => Err(too_long(limits)),
@@ -49,7 +46,7 @@
 /// Reads and drops a body, so that the connection can be used again.
 pub(crate) async fn discard_body(payload: Payload) {
     // A connection whose body goes on is closed after the response.
-    let _ = timeout(DISCARD_TIMEOUT, collect(payload, MAX_DISCARDED, 0)).await;
+    let _ = timeout(DISCARD_TIMEOUT, collect_body(payload, MAX_DISCARDED, 0)).await;
 }
 
 fn too_long(limits: &RequestLimits) -> Problem {
@@ -60,31 +57,6 @@
     )
 }
 
-/// Collects a body; returns none where it is longer than `limit`.
-async fn collect(
-    mut payload: Payload,
-    limit: usize,
-    declared: usize,
-) -> Result<Option<BytesMut>, String> {
-    let mut buf = BytesMut::new();
-    let mut seen = 0;
-    let mut is_too_long = declared > limit;
-    while let Some(chunk) = payload.recv().await {
-        let chunk = chunk.map_err(|e| e.to_string())?;
-        seen += chunk.len();
-        is_too_long |= seen > limit;
-        if seen > limit.saturating_mul(MAX_DISCARDED_BODIES) {
-            break;
-        }
-        if is_too_long {
-            buf.clear();
-        } else {
-            buf.extend_from_slice(&chunk);
-        }
-    }
-    Ok((!is_too_long).then_some(buf))
-}
-
 fn content_length(req: &HttpRequest) -> Option<usize> {
     let value = req.headers().get(header::CONTENT_LENGTH)?;
     value.to_str().ok()?.parse().ok()
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,5 +1,6 @@
 //! Links between processes, and HTTP serving, on the one loop of a process.
 
+mod body;
 mod errors;
 mod http;
 mod link;
@@ -9,6 +10,7 @@
 mod tls;
 
 pub use {
+    body::collect_body,
     errors::LinkError,
     http::{HttpLimits, ServeConf, http_config, serve_http, serve_http_with},
     link::{Link, LinkEvent, LinkId, LinkIds, LinkTiming, PeerName},
--- a/crates/observe/src/dispatch_metrics.rs
+++ b/crates/observe/src/dispatch_metrics.rs
@@ -107,19 +107,19 @@
                     self.waits.record(seconds(*wait), &[route]);
                 }
             }
-            DecisionNote::RunEnded { how, ran_ms, .. } => {
+            DecisionNote::TaskEnded { how, ran_ms, .. } => {
                 let how = KeyValue::new("how", end_name(*how));
                 self.runs.add(1, std::slice::from_ref(&how));
                 self.run_times.record(seconds(*ran_ms), &[how]);
             }
-            DecisionNote::RunStarted { waited_ms, .. } => {
+            DecisionNote::TaskStarted { waited_ms, .. } => {
                 self.waits_at_agent.record(seconds(*waited_ms), &[]);
             }
             DecisionNote::StartRefused { reason, .. } => {
                 let reason = KeyValue::new("reason", reason.to_string());
                 self.refused_starts.add(1, &[reason]);
             }
-            DecisionNote::RunStopped { reason, .. } => {
+            DecisionNote::TaskStopped { reason, .. } => {
                 let reason = KeyValue::new("reason", reason.to_string());
                 self.stopped_runs.add(1, &[reason]);
             }
--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -148,7 +148,7 @@
     /// Says what happened to a job whose entry told no answer.
     fn unanswered(&self) -> String {
         let is_lost = self.lines.iter().any(|line| {
-            matches!(&line.note, DecisionNote::RunStopped { reason, .. } if reason == "entry-lost")
+            matches!(&line.note, DecisionNote::TaskStopped { reason, .. } if reason == "entry-lost")
         });
         let is_gone = self
             .lines
@@ -166,7 +166,7 @@
     fn has_trouble(&self) -> bool {
         self.lines.iter().any(|line| match &line.note {
             DecisionNote::TaskReturned { .. } | DecisionNote::StartRefused { .. } => true,
-            DecisionNote::RunEnded { how, .. } => *how != EndKind::Done,
+            DecisionNote::TaskEnded { how, .. } => *how != EndKind::Done,
             _ => false,
         })
     }
@@ -182,7 +182,7 @@
                 DecisionNote::StartRefused { reason, .. } => {
                     format!("start {reason} at {}", line.process)
                 }
-                DecisionNote::RunStopped { reason, .. } => {
+                DecisionNote::TaskStopped { reason, .. } => {
                     format!("stopped ({reason}) at {}", line.process)
                 }
                 _ => continue,
@@ -214,7 +214,7 @@
     /// Names where a job that met no trouble spent its time.
     fn slowest_part(&self, wait_ms: u64) -> String {
         let runs = self.lines.iter().filter_map(|line| match line.note {
-            DecisionNote::RunEnded { ran_ms, .. } => Some((ran_ms, &line.process)),
+            DecisionNote::TaskEnded { ran_ms, .. } => Some((ran_ms, &line.process)),
             _ => None,
         });
         match runs.max_by_key(|(ran, _)| *ran) {
--- a/crates/types/src/decision_note.rs
+++ b/crates/types/src/decision_note.rs
@@ -122,7 +122,7 @@
         cpu_millis: u32,
     },
     /// An agent sent a start to its endpoint.
-    RunStarted {
+    TaskStarted {
         /// The job.
         job: JobId,
         /// The task.
@@ -150,7 +150,7 @@
         reason: Cow<'static, str>,
     },
     /// An agent has a run stopped.
-    RunStopped {
+    TaskStopped {
         /// The job.
         job: JobId,
         /// The task.
@@ -163,7 +163,7 @@
         percent: u32,
     },
     /// A task at an agent is over.
-    RunEnded {
+    TaskEnded {
         /// The job.
         job: JobId,
         /// The task.
@@ -233,10 +233,10 @@
             | Self::TaskReturned { job, .. }
             | Self::JobAnswered { job, .. }
             | Self::CallerGone { job, .. }
-            | Self::RunStarted { job, .. }
+            | Self::TaskStarted { job, .. }
             | Self::StartRefused { job, .. }
-            | Self::RunStopped { job, .. }
-            | Self::RunEnded { job, .. } => Some(job),
+            | Self::TaskStopped { job, .. }
+            | Self::TaskEnded { job, .. } => Some(job),
             _ => None,
         }
     }
@@ -253,10 +253,10 @@
             Self::AgentLinked { .. } => "agent-linked",
             Self::AgentLost { .. } => "agent-lost",
             Self::EndpointChanged { .. } => "endpoint-changed",
-            Self::RunStarted { .. } => "run-started",
+            Self::TaskStarted { .. } => "task-started",
             Self::StartRefused { .. } => "start-refused",
-            Self::RunStopped { .. } => "run-stopped",
-            Self::RunEnded { .. } => "run-ended",
+            Self::TaskStopped { .. } => "task-stopped",
+            Self::TaskEnded { .. } => "task-ended",
             Self::EndpointNews { .. } => "endpoint-news",
             Self::EntryLost { .. } => "entry-lost",
             Self::RoutingInForce { .. } => "routing-in-force",
@@ -270,8 +270,8 @@
     #[must_use]
     pub fn is_remarkable(&self) -> bool {
         match self {
-            Self::JobTaken { .. } | Self::TasksPlaced { .. } | Self::RunStarted { .. } => false,
-            Self::RunEnded { how, .. } => *how != EndKind::Done,
+            Self::JobTaken { .. } | Self::TasksPlaced { .. } | Self::TaskStarted { .. } => false,
+            Self::TaskEnded { how, .. } => *how != EndKind::Done,
             Self::JobAnswered { outcome, .. } => outcome != "completed",
             _ => true,
         }
