--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -35,6 +35,8 @@
     pub(crate) heard_at: Instant,
     /// The list orders that are out.
     pub(crate) lists: ListsOut,
+    /// Moment until which no list is asked for, after one was refused.
+    pub(crate) poll_after: Option<Instant>,
     /// Moment until which no start is tried, after one was refused for room.
     pub(crate) full_until: Option<Instant>,
 }
@@ -51,6 +53,7 @@
             seen: 0,
             heard_at: now,
             lists: ListsOut::default(),
+            poll_after: None,
             full_until: None,
         }
     }
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -134,6 +134,7 @@
             self.return_waiting(now);
             self.mark_stale();
         }
+        self.stop_again(now);
         self.lapse(now);
     }
 
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -6,7 +6,7 @@
             Answer, GuardAction, GuardMachine, ListOrder, ListReply, ListedEnd, OrderFault, RunEnd,
             run::{Phase, Run},
         },
-        timing::{IDLE_POLL_WAIT, NUMBER_STEP, ORDER_TIMEOUT, POLL_WAIT, RUN_LEASE},
+        timing::{IDLE_POLL_WAIT, NUMBER_STEP, ORDER_TIMEOUT, POLL_WAIT, REFUSED_PAUSE, RUN_LEASE},
     },
     chestnutrun_types::{EndKind, Incarnation},
     std::time::{Duration, Instant},
@@ -34,7 +34,8 @@
                 self.note_list(now, order.sent_at, &reply);
             }
             Answer::Refused(_, OrderFault::StaleToken) => self.token += NUMBER_STEP,
-            Answer::Refused(..) | Answer::Unknown => {}
+            Answer::Refused(..) => endpoint.poll_after = Some(now + REFUSED_PAUSE),
+            Answer::Unknown => {}
         }
     }
 
@@ -124,7 +125,8 @@
         let Some(endpoint) = &mut self.endpoint else {
             return;
         };
-        if endpoint.lists.poll {
+        let must_pause = endpoint.poll_after.is_some_and(|at| now < at);
+        if endpoint.lists.poll || must_pause {
             return;
         }
         endpoint.lists.poll = true;
--- a/crates/decisions/src/guard/stops.rs
+++ b/crates/decisions/src/guard/stops.rs
@@ -6,7 +6,7 @@
             Answer, GuardAction, GuardMachine, OrderFault, StopOrder,
             run::{Phase, RunKey},
         },
-        timing::{NUMBER_STEP, ORDER_TIMEOUT, STALL_LIMIT},
+        timing::{NUMBER_STEP, ORDER_TIMEOUT, REFUSED_PAUSE, STALL_LIMIT},
     },
     chestnutrun_types::{DecisionNote, EndKind, Incarnation, RunNumber, TaskId},
     std::time::Instant,
@@ -23,7 +23,6 @@
         if !self.note_clock(now, endpoint, answer) {
             return;
         }
-        let token_is_stale = matches!(answer, Answer::Refused(_, OrderFault::StaleToken));
         let Some(run) = self.runs.numbered(number) else {
             return;
         };
@@ -34,12 +33,12 @@
                 self.look(now);
             }
             Answer::Done(..) => {}
-            Answer::Unknown | Answer::Refused(..) => {
-                if token_is_stale {
-                    self.token += NUMBER_STEP;
-                }
+            Answer::Refused(_, OrderFault::StaleToken) => {
+                self.token += NUMBER_STEP;
                 self.order_stop(now, &key);
             }
+            Answer::Refused(..) => run.stop_again_at = Some(now + REFUSED_PAUSE),
+            Answer::Unknown => self.order_stop(now, &key),
         }
     }
 
@@ -67,6 +66,19 @@
         }
     }
 
+    /// Sends stops again that were refused a while ago.
+    pub(super) fn stop_again(&mut self, now: Instant) {
+        let due = self.runs.keys(|run| {
+            run.phase == Phase::Stopping && run.stop_again_at.is_some_and(|at| at <= now)
+        });
+        for key in due {
+            if let Some(run) = self.runs.get_mut(&key) {
+                run.stop_again_at = None;
+            }
+            self.order_stop(now, &key);
+        }
+    }
+
     pub(super) fn order_stop(&mut self, now: Instant, key: &RunKey) {
         let (Some(run), Some(endpoint)) = (self.runs.get_mut(key), &self.endpoint) else {
             return;
--- a/crates/decisions/src/timing.rs
+++ b/crates/decisions/src/timing.rs
@@ -58,6 +58,10 @@
 /// one percent every 80 ms.
 pub const STALL_LIMIT: Duration = Duration::from_millis(500);
 
+/// How long an order is put off after the endpoint refused one of its kind: an
+/// endpoint without a listener refuses at once, and each connection is paid for.
+pub const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+
 /// How long a start is put off after one was refused for want of room.
 pub const NO_ROOM_PAUSE: Duration = Duration::from_millis(20);
 
