Keep the runs of an entry's incarnations apart at the agent

Change: runs are kept by the entry's incarnation; only ends of the present one are told; an end is looked up before its step.

--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -30,7 +30,8 @@
             self.entries
                 .insert(entry.clone(), EntryState::new(incarnation, zone));
         }
-        let live = self.runs.iter().filter(|run| run.key.entry == entry);
+        let is_of = |run: &&Run| run.key.entry == entry && run.key.incarnation == incarnation;
+        let live = self.runs.iter().filter(is_of);
         let live = live.map(|run| (run.key.assignment, run.key.at)).collect();
         let info = self.announced_info();
         let Some(state) = self.entries.get_mut(&entry) else {
@@ -64,6 +65,7 @@
         let Some(state) = self.entries.get_mut(entry) else {
             return;
         };
+        let incarnation = state.incarnation;
         state.seen = state.seen.max(assignment.id);
         self.next_run = self.next_run.max(assignment.after_run + 1);
         let start_by = now + assignment.start_within;
@@ -75,6 +77,7 @@
             self.runs.insert(Run {
                 key: RunKey {
                     entry: entry.clone(),
+                    incarnation,
                     assignment: assignment.id,
                     at: assigned.at,
                 },
@@ -101,7 +104,12 @@
     /// Stops runs of the same tasks that another assignment started: their
     /// caller submitted the job again.
     pub(super) fn stop_older_attempts(&mut self, now: Instant, entry: &EntryId, assignment: u64) {
-        let is_new = |run: &Run| run.key.entry == *entry && run.key.assignment == assignment;
+        let incarnation = self.entries.get(entry).map(|state| state.incarnation);
+        let is_new = |run: &Run| {
+            run.key.entry == *entry
+                && Some(run.key.incarnation) == incarnation
+                && run.key.assignment == assignment
+        };
         let tasks: Vec<_> = self
             .runs
             .iter()
@@ -117,8 +125,11 @@
     }
 
     pub(super) fn revoke(&mut self, now: Instant, entry: &EntryId, revocation: &Revocation) {
+        let incarnation = self.entries.get(entry).map(|state| state.incarnation);
         let revoked = self.runs.keys(|run| {
-            run.key.entry == *entry && revocation.assignments.contains(&run.key.assignment)
+            run.key.entry == *entry
+                && Some(run.key.incarnation) == incarnation
+                && revocation.assignments.contains(&run.key.assignment)
         });
         for key in revoked {
             self.stop(now, &key, EndKind::Stopped, "revoked");
@@ -157,7 +168,8 @@
             how: kind,
             ran_ms: millis(end.ran),
         });
-        if let Some(entry) = self.entries.get_mut(&key.entry) {
+        let entry = self.entries.get_mut(&key.entry);
+        if let Some(entry) = entry.filter(|state| state.incarnation == key.incarnation) {
             entry.ended(now, end);
         }
         self.mark_stale();
--- a/crates/decisions/src/guard/run.rs
+++ b/crates/decisions/src/guard/run.rs
@@ -2,7 +2,8 @@
 
 use {
     chestnutrun_types::{
-        AssignedTask, AssignmentId, EndKind, EntryId, RunNumber, StepTask, TaskEnd, TaskId,
+        AssignedTask, AssignmentId, EndKind, EntryId, Incarnation, RunNumber, StepTask, TaskEnd,
+        TaskId,
     },
     std::{
         sync::Arc,
@@ -29,6 +30,8 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) struct RunKey {
     pub(crate) entry: EntryId,
+    /// Run of the entry: each counts its assignments anew.
+    pub(crate) incarnation: Incarnation,
     pub(crate) assignment: AssignmentId,
     pub(crate) at: StepTask,
 }
--- a/crates/decisions/src/placement/agents_side.rs
+++ b/crates/decisions/src/placement/agents_side.rs
@@ -175,7 +175,6 @@
         };
         job.highest_run = job.highest_run.max(end.run);
         let (route, allowed) = (job.route.id.clone(), job.route.attempts.max(LEAST_FAILURES));
-        let estimate = job.step(end.at.step).estimate;
         let Some(task) = job
             .task_mut(end.at)
             .filter(|t| t.is_under(agent, end.assignment))
@@ -183,10 +182,11 @@
             return;
         };
         task.state = TaskState::Waiting;
+        let mut is_done_now = false;
         match end.kind {
             EndKind::Done => {
                 task.state = TaskState::Done;
-                self.ratios.learn(&route, estimate, end.ran);
+                is_done_now = true;
             }
             EndKind::Failed => {
                 task.avoid.extend(endpoint);
@@ -196,6 +196,10 @@
             EndKind::NotStarted | EndKind::Stopped => {}
         }
         let is_failed = task.failures >= allowed;
+        if is_done_now {
+            let estimate = job.step(end.at.step).estimate;
+            self.ratios.learn(&route, estimate, end.ran);
+        }
         job.has_run |= end.kind != EndKind::NotStarted;
         let is_done = job.is_done();
         if end.kind != EndKind::Done {
--- a/crates/decisions/tests/best_effort_orders.rs
+++ b/crates/decisions/tests/best_effort_orders.rs
@@ -9,6 +9,11 @@
 /// Seeds that run where nothing else is asked for.
 const SEEDS: u64 = 200;
 
+/// Seeds that failed once: an assignment on a link that the agent had not
+/// accounted for yet (2571), and ends of an entry's earlier run, which counted
+/// its assignments anew (30503).
+const REGRESSIONS: [u64; 2] = [2_571, 30_503];
+
 /// How long load and faults go on, in milliseconds.
 const FAULTS: u64 = 8_000;
 
@@ -24,7 +29,7 @@
     }
     let first = read("CHESTNUTRUN_FIRST_SEED").unwrap_or(1);
     let seeds = read("CHESTNUTRUN_SEEDS").unwrap_or(SEEDS);
-    for seed in first..first + seeds {
+    for seed in REGRESSIONS.into_iter().chain(first..first + seeds) {
         let outcome = std::panic::catch_unwind(|| run(seed));
         assert!(outcome.is_ok(), "seed {seed} failed");
     }
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -2,10 +2,10 @@
 
 use {
     chestnutrun_decisions::guard::{
-        Announcement, Answer, GuardAction, GuardConf, GuardInput, GuardMachine, ListOrder,
-        OrderFault,
+        Announcement, Answer, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage,
+        ListOrder, ListReply, ListedEnd, OrderFault, RunEnd,
     },
-    chestnutrun_types::{EndpointInfo, Now, Room},
+    chestnutrun_types::{AssignedTask, Assignment, EndpointInfo, EntryId, Now, Room, StepTask},
     rstest::rstest,
     std::time::{Duration, Instant, SystemTime},
 };
@@ -41,6 +41,88 @@
     lists.collect()
 }
 
+fn assignment(id: u64, job: &str) -> Assignment {
+    let task = AssignedTask {
+        at: StepTask { step: 0, index: 0 },
+        need: Room {
+            cpu_millis: 1_000,
+            memory_mb: 1,
+            accelerators: 0,
+        },
+        expected: Duration::from_millis(100),
+    };
+    Assignment {
+        id,
+        job: job.into(),
+        payload: "payload".into(),
+        after_run: 0,
+        start_within: Duration::from_millis(100),
+        tasks: vec![task],
+    }
+}
+
+#[rstest]
+fn a_new_run_of_an_entry_hears_of_no_task_of_the_earlier_one() {
+    let begin = Instant::now();
+    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let now = Now {
+        instant: begin,
+        wall: SystemTime::UNIX_EPOCH,
+    };
+    let entry: EntryId = "entry".into();
+    let order = lists(guard.handle(now, GuardInput::Announced(announcement()))).remove(0);
+    let clock = Duration::from_secs(1);
+    let empty = Answer::Done(clock, ListReply::default());
+    guard.handle(now, GuardInput::Listed(1, order, empty));
+    guard.handle(now, GuardInput::LinkUp(entry.clone(), 1, "zone".into()));
+    guard.handle(now, GuardInput::Proven(entry.clone(), begin));
+    let assigned = GuardInput::Assign(entry.clone(), assignment(1, "00000000000000a1"));
+    let started = guard.handle(now, assigned);
+    let start = started.iter().find_map(|action| match action {
+        GuardAction::Start(order) => Some(order.clone()),
+        _ => None,
+    });
+    let start = start.expect("the task starts");
+    guard.handle(
+        now,
+        GuardInput::Started(1, start.run, Answer::Done(clock, ())),
+    );
+    let order = lists(started).into_iter().next();
+    guard.handle(now, GuardInput::LinkUp(entry.clone(), 2, "zone".into()));
+    guard.handle(now, GuardInput::Proven(entry.clone(), begin));
+    let again = GuardInput::Assign(entry, assignment(1, "00000000000000a2"));
+    let mut actions = guard.handle(now, again);
+    let ended = ListReply {
+        running: Vec::new(),
+        ended: vec![ListedEnd {
+            number: 1,
+            task: start.task.clone(),
+            run: start.run,
+            how: RunEnd::Done,
+        }],
+    };
+    let order = order.unwrap_or(ListOrder {
+        endpoint: "endpoint".into(),
+        incarnation: 1,
+        until: None,
+        seen: 0,
+        wait: Duration::from_millis(150),
+        token: 1,
+        sent_at: begin,
+        answer_by: begin,
+    });
+    actions.extend(guard.handle(
+        now,
+        GuardInput::Listed(1, order, Answer::Done(clock, ended)),
+    ));
+    let told = actions.iter().filter_map(|action| match action {
+        GuardAction::Send(_, GuardMessage::Update(update)) => Some(update.ends.len()),
+        _ => None,
+    });
+    assert_eq!(told.sum::<usize>(), 0, "{actions:?}");
+    assert_eq!(guard.tasks(), 1, "the new task stays");
+}
+
 #[rstest]
 fn an_endpoint_that_refuses_connections_is_not_asked_without_a_pause() {
     let begin = Instant::now();
