Set metrics up in one place

Cause: the new metrics repeated the registry, the exporter, the buckets and the text of the ones that were there. Change: an exporter of chestnutrun-observe serves both; no name, label or bound changes. Still alike, and left: the reload of both loops and the two settings files of platform/.

--- a/crates/observe/src/dispatch_metrics.rs
+++ b/crates/observe/src/dispatch_metrics.rs
@@ -1,23 +1,19 @@
 //! Metrics of entries and agents that run best-effort jobs.
 
 use {
-    crate::MetricsError,
+    crate::{
+        MetricsError,
+        exporter::{Exporter, seconds},
+    },
     chestnutrun_types::{DecisionNote, EndKind, RouteId},
     indexmap::IndexSet,
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Gauge, Histogram, MeterProvider},
+        metrics::{Counter, Gauge, Histogram},
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Encoder, Registry, TextEncoder},
     std::fmt,
 };
 
-/// Upper bounds of the histograms' buckets, in seconds.
-const BUCKET_BOUNDS: [f64; 14] = [
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
-];
-
 /// Most routes with a label of their own; the others count as one.
 const MAX_ROUTES: usize = 32;
 
@@ -26,8 +22,7 @@
 
 /// Metrics of one process, counted from its decisions.
 pub struct DispatchMetrics {
-    registry: Registry,
-    provider: SdkMeterProvider,
+    exporter: Exporter,
     routes: IndexSet<RouteId>,
     decisions: Counter<u64>,
     jobs: Counter<u64>,
@@ -53,37 +48,25 @@
     /// # Errors
     /// Returns an error where the exporter refuses its settings.
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()
-            .map_err(|e| MetricsError::SetUp(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("chestnutrun");
+        let exporter = Exporter::new()?;
+        let meter = exporter.meter();
         let counter = |name, text| meter.u64_counter(name).with_description(text).build();
-        let seconds = |name, text| {
-            let histogram = meter.f64_histogram(name).with_description(text);
-            let histogram = histogram.with_unit("s");
-            histogram.with_boundaries(BUCKET_BOUNDS.to_vec()).build()
-        };
+        let times = |name, text| seconds(&meter, name, text);
         Ok(Self {
             decisions: counter("chestnutrun_decisions", "Decisions by kind."),
             jobs: counter("chestnutrun_best_effort_jobs", "Jobs by route and outcome."),
             runs: counter("chestnutrun_runs", "Runs by how they ended."),
             refused_starts: counter("chestnutrun_refused_starts", "Starts by refusal."),
             stopped_runs: counter("chestnutrun_stopped_runs", "Stops by reason."),
-            response_times: seconds("chestnutrun_response", "Times to answers, by route."),
-            waits: seconds("chestnutrun_wait", "Waits for a place, by route."),
-            run_times: seconds("chestnutrun_run", "Run times of tasks."),
-            waits_at_agent: seconds("chestnutrun_agent_wait", "Waits at the agent."),
+            response_times: times("chestnutrun_response", "Times to answers, by route."),
+            waits: times("chestnutrun_wait", "Waits for a place, by route."),
+            run_times: times("chestnutrun_run", "Run times of tasks."),
+            waits_at_agent: times("chestnutrun_agent_wait", "Waits at the agent."),
             state: meter
                 .u64_gauge("chestnutrun_state")
                 .with_description("Present values, by name.")
                 .build(),
-            registry,
-            provider,
+            exporter,
             routes: IndexSet::new(),
         })
     }
@@ -102,18 +85,18 @@
                 let outcome = KeyValue::new("outcome", outcome.to_string());
                 self.jobs.add(1, &[route.clone(), outcome]);
                 self.response_times
-                    .record(seconds(*took_ms), std::slice::from_ref(&route));
+                    .record(as_seconds(*took_ms), std::slice::from_ref(&route));
                 if let Some(wait) = placed_after_ms {
-                    self.waits.record(seconds(*wait), &[route]);
+                    self.waits.record(as_seconds(*wait), &[route]);
                 }
             }
             DecisionNote::TaskEnded { how, ran_ms, .. } => {
                 let how = KeyValue::new("how", end_name(*how));
                 self.runs.add(1, std::slice::from_ref(&how));
-                self.run_times.record(seconds(*ran_ms), &[how]);
+                self.run_times.record(as_seconds(*ran_ms), &[how]);
             }
             DecisionNote::TaskStarted { waited_ms, .. } => {
-                self.waits_at_agent.record(seconds(*waited_ms), &[]);
+                self.waits_at_agent.record(as_seconds(*waited_ms), &[]);
             }
             DecisionNote::StartRefused { reason, .. } => {
                 let reason = KeyValue::new("reason", reason.to_string());
@@ -140,16 +123,12 @@
     /// # Errors
     /// Returns an error where the text cannot be made.
     pub fn show(&self) -> Result<String, MetricsError> {
-        let mut buf = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
-        Ok(String::from_utf8_lossy(&buf).into_owned())
+        self.exporter.show()
     }
 
     /// Stops to keep metrics.
     pub fn close(self) {
-        if let Err(error) = self.provider.shutdown() {
-            log::debug!("metrics did not stop cleanly: {error}");
-        }
+        self.exporter.close();
     }
 
     /// Returns the label of a route, within the bound on labels.
@@ -165,7 +144,7 @@
 }
 
 #[allow(clippy::cast_precision_loss)] // milliseconds of one run are far below 2^52
-fn seconds(millis: u64) -> f64 {
+fn as_seconds(millis: u64) -> f64 {
     millis as f64 / 1_000.0
 }
 
--- /dev/null
+++ b/crates/observe/src/exporter.rs
@@ -0,0 +1,67 @@
+//! Where metrics are registered, and how they are shown.
+
+use {
+    crate::MetricsError,
+    opentelemetry::metrics::{Histogram, Meter, MeterProvider},
+    opentelemetry_sdk::metrics::SdkMeterProvider,
+    prometheus::{Encoder, Registry, TextEncoder},
+};
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const BUCKET_BOUNDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Where the metrics of one process are registered.
+pub(crate) struct Exporter {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl Exporter {
+    /// Sets the exporter up; metrics are gathered when they are shown.
+    pub(crate) fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .map_err(|e| MetricsError::SetUp(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// Returns what registers metrics.
+    pub(crate) fn meter(&self) -> Meter {
+        self.provider.meter("chestnutrun")
+    }
+
+    /// Returns all metrics in Prometheus format.
+    pub(crate) fn show(&self) -> Result<String, MetricsError> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(String::from_utf8_lossy(&buf).into_owned())
+    }
+
+    /// Stops to keep metrics.
+    pub(crate) fn close(self) {
+        if let Err(error) = self.provider.shutdown() {
+            log::debug!("metrics did not stop cleanly: {error}");
+        }
+    }
+}
+
+/// Registers a histogram of times.
+pub(crate) fn seconds(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(description)
+        .with_unit("s")
+        .with_boundaries(BUCKET_BOUNDS.to_vec())
+        .build()
+}
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -3,6 +3,7 @@
 mod decision_log;
 mod dispatch_metrics;
 mod event;
+mod exporter;
 pub mod gathered;
 mod logs;
 mod metrics;
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -1,23 +1,19 @@
 //! Counters and gauges, shown in Prometheus format when they are asked for.
 
 use {
-    crate::Stopwatch,
+    crate::{
+        Stopwatch,
+        exporter::{Exporter, seconds},
+    },
     chestnutrun_types::{ContractId, Epoch, ShardId},
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+        metrics::{Counter, Gauge, Histogram},
     },
-    opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Encoder, Registry, TextEncoder},
     std::fmt,
     thiserror::Error,
 };
 
-/// Upper bounds of the histograms' buckets, in seconds.
-const BUCKET_BOUNDS: [f64; 14] = [
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
-];
-
 /// Why metrics cannot be kept or shown.
 #[derive(Debug, Error)]
 pub enum MetricsError {
@@ -31,8 +27,7 @@
 
 /// The metrics of one process.
 pub struct Metrics {
-    registry: Registry,
-    provider: SdkMeterProvider,
+    exporter: Exporter,
     messages: Counter<u64>,
     wasted_messages: Counter<u64>,
     tasks: Counter<u64>,
@@ -60,17 +55,10 @@
     /// # Errors
     /// Returns an error where the exporter refuses its settings.
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()
-            .map_err(|e| MetricsError::SetUp(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter: Meter = provider.meter("chestnutrun");
+        let exporter = Exporter::new()?;
+        let meter = exporter.meter();
         Ok(Self {
-            registry,
+            exporter,
             messages: meter
                 .u64_counter("chestnutrun_messages")
                 .with_description("Messages between processes.")
@@ -121,7 +109,6 @@
                 .u64_gauge("chestnutrun_jobs")
                 .with_description("Jobs at the process.")
                 .build(),
-            provider,
         })
     }
 
@@ -225,28 +212,15 @@
     /// # Errors
     /// Returns an error where the text cannot be made.
     pub fn show(&self) -> Result<String, MetricsError> {
-        let mut buf = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
-        Ok(String::from_utf8_lossy(&buf).into_owned())
+        self.exporter.show()
     }
 
     /// Stops to keep metrics.
     pub fn close(self) {
-        if let Err(error) = self.provider.shutdown() {
-            log::debug!("metrics did not stop cleanly: {error}");
-        }
+        self.exporter.close();
     }
 }
 
-fn seconds(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
-    meter
-        .f64_histogram(name)
-        .with_description(description)
-        .with_unit("s")
-        .with_boundaries(BUCKET_BOUNDS.to_vec())
-        .build()
-}
-
 fn as_u64(count: usize) -> u64 {
     u64::try_from(count).unwrap_or(u64::MAX)
 }
