Name the body of what ended, and the ownership of what is replied

Change: an end and a repeated start carry the digest of the body, and agents refuse starts of another body; replies carry the epoch, and "not run" of an earlier owner than the last that got the submission is not passed on. The inner protocol is chestnutrun.3. Not covered: who cancelled at an entry of the earlier owner is told "cancelled" all the same.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -374,6 +374,7 @@
         StartRefusal::Forgone => "forgone",
         StartRefusal::EndpointRefused => "endpoint-refused",
         StartRefusal::Cancelled => "cancelled",
+        StartRefusal::KeyReused => "key-reused",
     }
 }
 
--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -115,6 +115,7 @@
         };
         let finished = Finished {
             task: start.task,
+            digest: start.digest,
             outcome: TaskOutcome::Completed(String::new()),
         };
         self.handle(OwnerInput::Finished(endpoint, finished));
--- a/crates/bench/src/experiment/decisions_run.rs
+++ b/crates/bench/src/experiment/decisions_run.rs
@@ -262,6 +262,7 @@
             endpoint,
             contract: arrival.contract,
             task: start.task.clone(),
+            digest: start.digest,
             outcome,
         };
         self.slots.start(self.now.instant, run_time, held);
@@ -278,6 +279,7 @@
             .push((usize::from(held.task.index), at));
         let finished = Finished {
             task: held.task,
+            digest: held.digest,
             outcome: held.outcome,
         };
         self.input(OwnerInput::Finished(held.endpoint, finished));
--- a/crates/bench/src/experiment/fake_slots.rs
+++ b/crates/bench/src/experiment/fake_slots.rs
@@ -1,7 +1,7 @@
 //! One small fake of endpoints' slots, on a clock that is handed in.
 
 use {
-    chestnutrun_types::{EndpointId, TaskOutcome, TaskRef},
+    chestnutrun_types::{BodyDigest, EndpointId, TaskOutcome, TaskRef},
     indexmap::IndexMap,
     std::{
         cmp::Reverse,
@@ -19,6 +19,8 @@
     pub contract: usize,
     /// The task.
     pub task: TaskRef,
+    /// Digest of the body that it belongs to.
+    pub digest: BodyDigest,
     /// How it will end.
     pub outcome: TaskOutcome,
 }
--- a/crates/bench/src/slopes/frame_sizes.rs
+++ b/crates/bench/src/slopes/frame_sizes.rs
@@ -95,6 +95,7 @@
 fn finished() -> Finished {
     Finished {
         task: job().task(3),
+        digest: u128::MAX,
         outcome: TaskOutcome::Completed("x".repeat(PAYLOAD_BYTES)),
     }
 }
--- a/crates/decisions/src/agent/agent_machine.rs
+++ b/crates/decisions/src/agent/agent_machine.rs
@@ -8,7 +8,7 @@
     chestnutrun_types::{
         Confirm, Confirmation, EntryId, Fence, FenceReply, Finished, KeyHash, Lookup, LookupReply,
         Now, RecordState, Revision, ShardId, Start, StartRefusal, StartRefused, TaskOutcome,
-        TaskRef,
+        TaskRecord, TaskRef,
     },
     indexmap::IndexSet,
     std::time::Instant,
@@ -138,12 +138,7 @@
 
     fn start(&mut self, now: Now, entry: &EntryId, start: Start) -> Vec<AgentAction> {
         if let Some(record) = self.records.get(&start.task) {
-            return match &record.state {
-                RecordState::Running => Vec::new(),
-                RecordState::Ended(outcome) => {
-                    vec![finished(entry, &start.task, outcome.clone())]
-                }
-            };
+            return repeated(entry, &start, record);
         }
         if let Err(reason) = self.may_start(now, &start) {
             return vec![refused(entry, &start, reason)];
@@ -192,11 +187,16 @@
             RunOutcome::Unknown => TaskOutcome::OutcomeUnknown,
             RunOutcome::NotStarted => return self.not_started(task),
         };
-        if !self.records.end(task, outcome.clone()) {
+        let Some(digest) = self.records.end(task, outcome.clone()) else {
             return Vec::new();
-        }
+        };
+        let finished = Finished {
+            task: task.clone(),
+            digest,
+            outcome,
+        };
         match self.linked_owner() {
-            Some(owner) => vec![finished(&owner, task, outcome)],
+            Some(owner) => vec![AgentAction::Send(owner, AgentMessage::Finished(finished))],
             None => Vec::new(),
         }
     }
@@ -286,12 +286,23 @@
     }
 }
 
-fn finished(entry: &EntryId, task: &TaskRef, outcome: TaskOutcome) -> AgentAction {
+/// Answers a start of a task that has a record: nothing starts.
+fn repeated(entry: &EntryId, start: &Start, record: &TaskRecord) -> Vec<AgentAction> {
+    if record.digest != start.digest {
+        return vec![refused(entry, start, StartRefusal::KeyReused)];
+    }
+    let RecordState::Ended(outcome) = &record.state else {
+        return Vec::new();
+    };
     let finished = Finished {
-        task: task.clone(),
-        outcome,
+        task: start.task.clone(),
+        digest: record.digest,
+        outcome: outcome.clone(),
     };
-    AgentAction::Send(entry.clone(), AgentMessage::Finished(finished))
+    vec![AgentAction::Send(
+        entry.clone(),
+        AgentMessage::Finished(finished),
+    )]
 }
 
 fn refused(entry: &EntryId, start: &Start, reason: StartRefusal) -> AgentAction {
--- a/crates/decisions/src/agent/record_book.rs
+++ b/crates/decisions/src/agent/record_book.rs
@@ -3,8 +3,8 @@
 use {
     crate::timing::RECORD_WINDOW,
     chestnutrun_types::{
-        Attempt, Epoch, JobRef, KeyHash, Lookup, RecordState, SentStart, Start, TaskIndex,
-        TaskOutcome, TaskRecord, TaskRef,
+        Attempt, BodyDigest, Epoch, JobRef, KeyHash, Lookup, RecordState, SentStart, Start,
+        TaskIndex, TaskOutcome, TaskRecord, TaskRef,
     },
     indexmap::IndexMap,
     std::{collections::VecDeque, time::Instant},
@@ -72,14 +72,14 @@
         job.started.insert(start.task.index, (record, number));
     }
 
-    /// Records the end of a run; returns whether it was running.
-    pub fn end(&mut self, task: &TaskRef, outcome: TaskOutcome) -> bool {
-        let Some(record) = self.running_record(task) else {
-            return false;
-        };
+    /// Records the end of a run; returns the digest of its body where it was
+    /// running.
+    pub fn end(&mut self, task: &TaskRef, outcome: TaskOutcome) -> Option<BodyDigest> {
+        let record = self.running_record(task)?;
         record.state = RecordState::Ended(outcome);
+        let digest = record.digest;
         self.running -= 1;
-        true
+        Some(digest)
     }
 
     /// Forgets a start that the endpoint proved not to have happened; returns
--- a/crates/decisions/src/front/front_machine.rs
+++ b/crates/decisions/src/front/front_machine.rs
@@ -45,7 +45,7 @@
         match input {
             FrontInput::Request(waiter, request) => self.request(waiter, request),
             FrontInput::Abandon(waiter) => self.abandon(waiter),
-            FrontInput::Reply(reply) => self.reply(reply),
+            FrontInput::Reply(reply) => self.reply(&reply),
             FrontInput::Owner(owner) => self.owner(owner),
             FrontInput::OwnerReady(shard) => self.resend(|of_shard| of_shard == shard),
             FrontInput::LinkUp(entry) => self.link_up(&entry),
@@ -106,10 +106,10 @@
         }
     }
 
-    fn reply(&mut self, reply: JobReply) {
+    fn reply(&mut self, reply: &JobReply) {
         let is_answer = matches!(reply.reply, Reply::Answered(_));
         let key = PendingKey {
-            job: reply.job,
+            job: reply.job.clone(),
             digest: reply.digest,
         };
         if is_answer && key.digest.is_some() {
@@ -117,12 +117,12 @@
                 digest: None,
                 ..key.clone()
             };
-            self.end(&asked, &reply.reply);
+            self.end(&asked, reply);
         }
         if matches!(reply.reply, Reply::Accepted) {
             self.accept(&key, &reply.reply);
         } else {
-            self.end(&key, &reply.reply);
+            self.end(&key, reply);
         }
     }
 
@@ -139,10 +139,20 @@
     }
 
     /// Answers every waiter with the owner's final reply.
-    fn end(&mut self, key: &PendingKey, reply: &Reply) {
-        if let Some(mut pending) = self.pending.shift_remove(key) {
-            self.answer(pending.take_all(), reply);
+    ///
+    /// A later owner that got the request may run what an earlier one says did
+    /// not run; its own reply is waited for.
+    fn end(&mut self, key: &PendingKey, reply: &JobReply) {
+        let Some(pending) = self.pending.get_mut(key) else {
+            return;
+        };
+        let is_outdated = pending.sent_under > Some(reply.epoch);
+        if is_outdated && reply.reply.claims_not_run() {
+            return;
         }
+        let waiters = pending.take_all();
+        self.pending.shift_remove(key);
+        self.answer(waiters, &reply.reply);
     }
 
     fn answer(&mut self, waiters: Vec<WaiterId>, reply: &Reply) {
--- a/crates/decisions/src/owner/admission.rs
+++ b/crates/decisions/src/owner/admission.rs
@@ -7,8 +7,8 @@
         timing::RECORD_WINDOW,
     },
     chestnutrun_types::{
-        ContractId, EntryId, JobRef, JobReply, JobSpec, KindId, Now, Overflow, Refusal,
-        RefusalReason, Reply, Submit, TaskRef,
+        ContractId, EntryId, JobRef, JobSpec, KindId, Now, Overflow, Refusal, RefusalReason, Reply,
+        Submit, TaskRef,
     },
     std::time::{Duration, SystemTime},
 };
@@ -64,11 +64,7 @@
         let digest = Some(state.digest);
         self.insert_job(state);
         if wants_receipt {
-            let accepted = JobReply {
-                job: job.clone(),
-                digest,
-                reply: Reply::Accepted,
-            };
+            let accepted = self.reply_about(job.clone(), digest, Reply::Accepted);
             self.reply(from, accepted);
         }
         self.enqueue_waiting(now, &job);
--- a/crates/decisions/src/owner/agents.rs
+++ b/crates/decisions/src/owner/agents.rs
@@ -177,6 +177,7 @@
         if let RecordState::Ended(outcome) = &record.state {
             let finished = Finished {
                 task: record.task.clone(),
+                digest: record.digest,
                 outcome: outcome.clone(),
             };
             self.finished(now, endpoint, finished);
@@ -196,7 +197,7 @@
             let was_sent = self.is_started_on(&task, endpoint);
             self.free_slot(now, endpoint, &task, SlotUse::Unknown);
             if let Some(recovery) = self.recoveries.get_mut(&task.job()) {
-                recovery.end(&task, &TaskOutcome::OutcomeUnknown);
+                recovery.lose_task(&task);
             }
             if was_sent {
                 self.end_task(now, &task, TaskOutcome::OutcomeUnknown);
--- a/crates/decisions/src/owner/endings.rs
+++ b/crates/decisions/src/owner/endings.rs
@@ -6,8 +6,8 @@
         policy::SlotUse,
     },
     chestnutrun_types::{
-        EndpointId, Finished, JobRef, JobReply, Now, RefusalReason, Reply, StartRefusal,
-        StartRefused, TaskOutcome, TaskRef,
+        EndpointId, Finished, JobRef, Now, RefusalReason, Reply, StartRefusal, StartRefused,
+        TaskOutcome, TaskRef,
     },
     std::time::Duration,
 };
@@ -20,6 +20,10 @@
 
 impl OwnerMachine {
     pub(super) fn finished(&mut self, now: Now, endpoint: &EndpointId, finished: Finished) {
+        if self.is_of_other_body(&finished) {
+            self.other_body_ran(now, endpoint, &finished.task);
+            return;
+        }
         let slot_use = slot_use(&finished.outcome);
         if !self.free_slot(now, endpoint, &finished.task, slot_use) {
             return;
@@ -28,12 +32,32 @@
         self.refresh_slots(now, endpoint);
         let job = finished.task.job();
         if let Some(recovery) = self.recoveries.get_mut(&job) {
-            recovery.end(&finished.task, &finished.outcome);
+            recovery.end(&finished);
         }
         self.end_task(now, &finished.task, finished.outcome);
         self.answer_if_ended(&job);
     }
 
+    /// Whether a run belongs to another body than the job that is known under
+    /// its key.
+    fn is_of_other_body(&self, finished: &Finished) -> bool {
+        let job = self.jobs.get(&finished.task.job());
+        job.is_some_and(|job| job.digest != finished.digest)
+    }
+
+    /// Frees what a run of another body held. The agent refuses every start
+    /// under that name, so a task that was sent there has not run.
+    fn other_body_ran(&mut self, now: Now, endpoint: &EndpointId, task: &TaskRef) {
+        let was_sent = self.is_started_on(task, endpoint);
+        self.free_slot(now, endpoint, task, SlotUse::Unknown);
+        self.refresh_slots(now, endpoint);
+        if was_sent {
+            let outcome = TaskOutcome::NotRun(RefusalReason::KeyReused);
+            self.end_task(now, task, outcome);
+            self.answer_if_ended(&task.job());
+        }
+    }
+
     /// Learns from a task's end whether its endpoint fails what it starts.
     fn judge_endpoint(&mut self, now: Now, endpoint: &EndpointId, finished: &Finished) {
         let contract = &finished.task.contract;
@@ -73,6 +97,13 @@
             return;
         }
         self.undo_recovered(&refused.task);
+        if refused.reason == StartRefusal::KeyReused {
+            let outcome = TaskOutcome::NotRun(RefusalReason::KeyReused);
+            self.refresh_slots(now, endpoint);
+            self.end_task(now, &refused.task, outcome);
+            self.answer_if_ended(&refused.task.job());
+            return;
+        }
         if let Some(state) = self.endpoints.get_mut(endpoint) {
             if refused.reason == StartRefusal::Leaving {
                 state.hello.leaving = true;
@@ -139,11 +170,8 @@
             return;
         };
         let askers = std::mem::take(&mut state.askers);
-        let reply = JobReply {
-            job: job.clone(),
-            digest: Some(state.digest),
-            reply: Reply::Answered(answer),
-        };
+        let digest = Some(state.digest);
+        let reply = self.reply_about(job.clone(), digest, Reply::Answered(answer));
         for asker in askers {
             self.reply(&asker, reply.clone());
         }
--- a/crates/decisions/src/owner/recovering.rs
+++ b/crates/decisions/src/owner/recovering.rs
@@ -2,13 +2,12 @@
 
 use {
     crate::owner::{
-        AgentOrder, AgentReach, AgentRun, OwnerMachine, Recovery, Request,
-        admission::new_job,
-        requests::{reply_to, unavailable},
+        AgentOrder, AgentReach, AgentRun, OwnerMachine, Recovery, Request, admission::new_job,
+        requests::unavailable,
     },
     chestnutrun_types::{
-        EndpointId, EntryId, Incarnation, JobAnswer, JobRef, JobReply, Lookup, LookupReply, Now,
-        RecordState, Reply, Submit, TaskOutcome, TaskRecord, TaskRef,
+        EndpointId, EntryId, Incarnation, JobAnswer, JobRef, Lookup, LookupReply, Now, RecordState,
+        Reply, Submit, TaskOutcome, TaskRecord, TaskRef,
     },
 };
 
@@ -112,7 +111,7 @@
             .any(|(_, record)| record.digest != submit.digest);
         if foreign {
             for asker in &recovery.askers {
-                self.reply(asker, reply_to(&submit, Reply::KeyReused));
+                self.reply(asker, self.reply_to(&submit, Reply::KeyReused));
             }
             return;
         }
@@ -176,11 +175,9 @@
     fn answer_from_records(&mut self, job: &JobRef, recovery: &Recovery) {
         let whole = whole_answer(&recovery.records);
         let first = recovery.records.first().filter(|_| whole.is_some());
-        let reply = JobReply {
-            job: job.clone(),
-            digest: first.map(|(_, record)| record.digest),
-            reply: whole.map_or_else(|| unavailable(None), Reply::Answered),
-        };
+        let digest = first.map(|(_, record)| record.digest);
+        let reply = whole.map_or_else(|| unavailable(None), Reply::Answered);
+        let reply = self.reply_about(job.clone(), digest, reply);
         for asker in &recovery.askers {
             self.reply(asker, reply.clone());
         }
--- a/crates/decisions/src/owner/recovery.rs
+++ b/crates/decisions/src/owner/recovery.rs
@@ -3,7 +3,8 @@
 use {
     crate::owner::{AgentRun, HeldRequest, Request},
     chestnutrun_types::{
-        EndpointId, EntryId, Incarnation, RecordState, Submit, TaskOutcome, TaskRecord, TaskRef,
+        EndpointId, EntryId, Finished, Incarnation, RecordState, Submit, TaskOutcome, TaskRecord,
+        TaskRef,
     },
     indexmap::IndexSet,
 };
@@ -59,14 +60,21 @@
     }
 
     /// Notes that a task ended after its record was read.
-    pub fn end(&mut self, task: &TaskRef, outcome: &TaskOutcome) {
+    pub fn end(&mut self, finished: &Finished) {
         for (_, record) in &mut self.records {
-            if record.task == *task && record.state == RecordState::Running {
-                record.state = RecordState::Ended(outcome.clone());
+            if record.digest == finished.digest {
+                end_record(record, &finished.task, &finished.outcome);
             }
         }
     }
 
+    /// Notes that nobody will tell how a recorded run ended.
+    pub fn lose_task(&mut self, task: &TaskRef) {
+        for (_, record) in &mut self.records {
+            end_record(record, task, &TaskOutcome::OutcomeUnknown);
+        }
+    }
+
     /// Notes that a recorded start proved not to have happened.
     pub fn undo(&mut self, task: &TaskRef) {
         self.records
@@ -86,3 +94,9 @@
         self.waits_for.is_empty()
     }
 }
+
+fn end_record(record: &mut TaskRecord, task: &TaskRef, outcome: &TaskOutcome) {
+    if record.task == *task && record.state == RecordState::Running {
+        record.state = RecordState::Ended(outcome.clone());
+    }
+}
--- a/crates/decisions/src/owner/reply_gate.rs
+++ b/crates/decisions/src/owner/reply_gate.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::owner::OwnerAction,
-    chestnutrun_types::{EntryId, JobAnswer, JobReply, Reply, TaskOutcome},
+    chestnutrun_types::{EntryId, JobReply},
     std::{collections::VecDeque, time::Instant},
 };
 
@@ -21,7 +21,7 @@
         let mut passed = Vec::with_capacity(actions.len());
         for action in actions {
             match action {
-                OwnerAction::Reply(to, reply) if claims_not_run(&reply.reply) => {
+                OwnerAction::Reply(to, reply) if reply.reply.claims_not_run() => {
                     self.held.push_back((at, to, reply));
                 }
                 action => passed.push(action),
@@ -43,20 +43,3 @@
         self.held.is_empty()
     }
 }
-
-fn claims_not_run(reply: &Reply) -> bool {
-    match reply {
-        Reply::Refused(_) => true,
-        Reply::Answered(answer) => has_task_not_run(answer),
-        _ => false,
-    }
-}
-
-fn has_task_not_run(answer: &JobAnswer) -> bool {
-    answer.tasks.iter().any(|task| {
-        matches!(
-            task.outcome,
-            TaskOutcome::NotRun(_) | TaskOutcome::Cancelled | TaskOutcome::DeadlinePassed
-        )
-    })
-}
--- a/crates/decisions/src/owner/requests.rs
+++ b/crates/decisions/src/owner/requests.rs
@@ -6,7 +6,8 @@
         admission::{RETRY_AFTER, new_job},
     },
     chestnutrun_types::{
-        EntryId, JobRef, JobReply, Now, Refusal, RefusalReason, Reply, Submit, TaskOutcome, TaskRef,
+        BodyDigest, EntryId, JobRef, JobReply, Now, Refusal, RefusalReason, Reply, Submit,
+        TaskOutcome, TaskRef,
     },
     std::time::{Instant, SystemTime},
 };
@@ -72,7 +73,7 @@
     }
 
     fn refuse(&mut self, from: EntryId, submit: &Submit, refusal: Refusal) {
-        let reply = reply_to(submit, Reply::Refused(refusal));
+        let reply = self.reply_to(submit, Reply::Refused(refusal));
         let action = OwnerAction::Reply(from, reply);
         if submit.may_be_older {
             self.actions.push(action);
@@ -88,7 +89,7 @@
             self.answer_if_ended(&job);
             if is_open {
                 let (digest, reply) = (None, Reply::Accepted);
-                self.reply(&from, JobReply { job, digest, reply });
+                self.reply(&from, self.reply_about(job, digest, reply));
             }
             return;
         }
@@ -106,7 +107,7 @@
             unavailable(None)
         };
         let digest = None;
-        self.reply(&from, JobReply { job, digest, reply });
+        self.reply(&from, self.reply_about(job, digest, reply));
     }
 
     fn cancel(&mut self, now: Now, from: EntryId, job: JobRef) {
@@ -130,12 +131,12 @@
     fn join(&mut self, from: &EntryId, submit: &Submit) -> bool {
         if let Some(state) = self.jobs.get_mut(&submit.job) {
             if state.digest != submit.digest {
-                self.reply(from, reply_to(submit, Reply::KeyReused));
+                self.reply(from, self.reply_to(submit, Reply::KeyReused));
                 return true;
             }
             state.askers.insert(from.clone());
             if submit.wants_receipt && state.answer.is_none() {
-                self.reply(from, reply_to(submit, Reply::Accepted));
+                self.reply(from, self.reply_to(submit, Reply::Accepted));
             }
             self.answer_if_ended(&submit.job);
             return true;
@@ -164,7 +165,27 @@
         let reply = unavailable(Some(now.wall + RETRY_AFTER));
         let job = held.request.job().clone();
         let digest = held.request.digest();
-        self.reply(&held.from, JobReply { job, digest, reply });
+        self.reply(&held.from, self.reply_about(job, digest, reply));
+    }
+
+    /// Makes the reply to a submission.
+    pub(super) fn reply_to(&self, submit: &Submit, reply: Reply) -> JobReply {
+        self.reply_about(submit.job.clone(), Some(submit.digest), reply)
+    }
+
+    /// Makes a reply under this ownership.
+    pub(super) fn reply_about(
+        &self,
+        job: JobRef,
+        digest: Option<BodyDigest>,
+        reply: Reply,
+    ) -> JobReply {
+        JobReply {
+            job,
+            digest,
+            epoch: self.conf.epoch,
+            reply,
+        }
     }
 
     /// Answers for a key that may have started where nobody can be asked.
@@ -178,15 +199,6 @@
     }
 }
 
-/// Makes the reply to a submission.
-pub(super) fn reply_to(submit: &Submit, reply: Reply) -> JobReply {
-    JobReply {
-        job: submit.job.clone(),
-        digest: Some(submit.digest),
-        reply,
-    }
-}
-
 /// Returns the reply that claims nothing.
 pub(super) fn unavailable(retry_at: Option<SystemTime>) -> Reply {
     Reply::Unavailable(Refusal {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -11,7 +11,7 @@
 };
 
 /// Name and version of the protocol, compared when a link opens.
-pub const PROTOCOL: &str = "chestnutrun.2";
+pub const PROTOCOL: &str = "chestnutrun.3";
 
 /// First message on a link, from the side that opened it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/types/src/answer.rs
+++ b/crates/types/src/answer.rs
@@ -24,6 +24,15 @@
 }
 
 impl TaskOutcome {
+    /// Whether it says that the task did not run.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        matches!(
+            self,
+            Self::NotRun(_) | Self::Cancelled | Self::DeadlinePassed
+        )
+    }
+
     /// Whether the task completed.
     #[must_use]
     pub fn is_completed(&self) -> bool {
@@ -58,6 +67,12 @@
 }
 
 impl JobAnswer {
+    /// Whether it says of a task that it did not run.
+    #[must_use]
+    pub fn has_task_not_run(&self) -> bool {
+        self.tasks.iter().any(|task| task.outcome.is_not_run())
+    }
+
     /// Builds the answer from the outcome of every task.
     #[must_use]
     pub fn new(outcomes: impl IntoIterator<Item = TaskOutcome>) -> Self {
--- a/crates/types/src/exchange.rs
+++ b/crates/types/src/exchange.rs
@@ -136,6 +136,19 @@
     Accepted,
 }
 
+impl Reply {
+    /// Whether it says that a task did not run, which only holds as long as no
+    /// later owner gets the same submission.
+    #[must_use]
+    pub fn claims_not_run(&self) -> bool {
+        match self {
+            Self::Refused(_) => true,
+            Self::Answered(answer) => answer.has_task_not_run(),
+            Self::KeyReused | Self::NotFound | Self::Unavailable(_) | Self::Accepted => false,
+        }
+    }
+}
+
 /// A reply, with what it is about.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobReply {
@@ -144,6 +157,8 @@
     /// Digest of the submission that it is about; none where the question
     /// named no submission and none is known.
     pub digest: Option<BodyDigest>,
+    /// Ownership under which it is said.
+    pub epoch: Epoch,
     /// What the owner says.
     pub reply: Reply,
 }
@@ -209,6 +224,8 @@
     EndpointRefused,
     /// The task was cancelled before it started.
     Cancelled,
+    /// A task of another body under the same key has started there.
+    KeyReused,
 }
 
 /// Proves that a task did not start on an agent.
@@ -229,6 +246,8 @@
 pub struct Finished {
     /// The task.
     pub task: TaskRef,
+    /// Digest of the body that it belongs to.
+    pub digest: BodyDigest,
     /// How it ended.
     pub outcome: TaskOutcome,
 }
