Lead the soak through relays, and hold the log's page against the code

Cause: the soak knew signals and an outage of the store only; nothing held LOGS.md against what is written; store calls, links, the age of the configuration, memory and processor time were in no metric; settings, reloads and the guard's first checks stood twice. Metrics for the store's calls, links, the table's age and the process.

--- a/crates/bench/src/site/relay.rs
+++ b/crates/bench/src/site/relay.rs
@@ -1,8 +1,9 @@
-//! A relay before an entry that can cut links or let them go silent.
+//! A relay before a process that can cut connections, delay them and let them
+//! go silent, both ways or one way.
 
 use {
     crate::site::SiteError,
-    std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc},
+    std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
@@ -10,6 +11,7 @@
             tcp::{OwnedReadHalf, OwnedWriteHalf},
         },
         sync::watch,
+        time::sleep,
     },
 };
 
@@ -22,8 +24,7 @@
 /// Relays the connections to one address.
 #[derive(Debug)]
 pub struct Relay {
-    newest: Rc<Cell<ConnectionNumber>>,
-    silent: Rc<Cell<ConnectionNumber>>,
+    faults: Faults,
     cut: watch::Sender<ConnectionNumber>,
 }
 
@@ -32,6 +33,8 @@
 struct Faults {
     newest: Rc<Cell<ConnectionNumber>>,
     silent: Rc<Cell<ConnectionNumber>>,
+    silent_back: Rc<Cell<ConnectionNumber>>,
+    delay: Rc<Cell<Duration>>,
     cut: watch::Receiver<ConnectionNumber>,
 }
 
@@ -45,34 +48,42 @@
             .await
             .map_err(|e| SiteError::Io(listen.to_string(), e))?;
         let (cut, cuts) = watch::channel(0);
-        let relay = Self {
+        let faults = Faults {
             newest: Rc::default(),
             silent: Rc::default(),
-            cut,
-        };
-        let faults = Faults {
-            newest: relay.newest.clone(),
-            silent: relay.silent.clone(),
+            silent_back: Rc::default(),
+            delay: Rc::default(),
             cut: cuts,
         };
-        ntex::rt::spawn(accept(listener, to, faults));
-        Ok(relay)
+        ntex::rt::spawn(accept(listener, to, faults.clone()));
+        Ok(Self { faults, cut })
     }
 
     /// Cuts every connection that is open now.
     pub fn cut(&self) {
-        self.cut.send_replace(self.newest.get());
+        self.cut.send_replace(self.faults.newest.get());
     }
 
     /// Drops all bytes, both ways, of every connection that is open now.
     pub fn silence(&self) {
-        self.silent.set(self.newest.get());
+        self.faults.silent.set(self.faults.newest.get());
+    }
+
+    /// Drops the bytes that go back to who connected, of every connection that
+    /// is open now.
+    pub fn silence_back(&self) {
+        self.faults.silent_back.set(self.faults.newest.get());
+    }
+
+    /// Holds all bytes back for a time, from now on.
+    pub fn delay(&self, delay: Duration) {
+        self.faults.delay.set(delay);
     }
 
     /// Returns how many connections were opened since the last silence.
     #[must_use]
     pub fn opened_since_silence(&self) -> u64 {
-        self.newest.get() - self.silent.get()
+        self.faults.newest.get() - self.faults.silent.get()
     }
 
     /// Cuts every connection and takes no other.
@@ -99,7 +110,7 @@
     }
 }
 
-async fn relay(stream: TcpStream, to: SocketAddr, mut faults: Faults) {
+async fn relay(stream: TcpStream, to: SocketAddr, faults: Faults) {
     let number = faults.newest.get();
     let Ok(onward) = TcpStream::connect(to).await else {
         return;
@@ -108,12 +119,14 @@
     let _ = (stream.set_nodelay(true), onward.set_nodelay(true));
     let (from_peer, to_peer) = stream.into_split();
     let (from_entry, to_entry) = onward.into_split();
-    let silent = faults.silent.clone();
+    let mut cut = faults.cut.clone();
+    let there = [&*faults.silent];
+    let back = [&*faults.silent, &*faults.silent_back];
     tokio::select! {
-        () = pump(from_peer, to_entry, number, &silent) => {}
-        () = pump(from_entry, to_peer, number, &silent) => {}
+        () = pump(from_peer, to_entry, number, &there, &faults.delay) => {}
+        () = pump(from_entry, to_peer, number, &back, &faults.delay) => {}
         // The relay is closed where the wait fails.
-        _ = faults.cut.wait_for(|cut| *cut >= number) => {}
+        _ = cut.wait_for(|cut| *cut >= number) => {}
     }
 }
 
@@ -121,18 +134,22 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     number: ConnectionNumber,
-    silent: &Cell<ConnectionNumber>,
+    silent: &[&Cell<ConnectionNumber>],
+    delay: &Cell<Duration>,
 ) {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
         let read = from.read(&mut buf).await.unwrap_or_default();
-        let is_silent = number <= silent.get();
+        let is_silent = silent.iter().any(|up_to| number <= up_to.get());
         if read == 0 && is_silent {
             pending::<()>().await;
         }
         if read == 0 {
             return;
         }
+        if !delay.get().is_zero() {
+            sleep(delay.get()).await;
+        }
         if !is_silent && to.write_all(&buf[..read]).await.is_err() {
             return;
         }
--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -3,9 +3,10 @@
 use {
     crate::guard::{
         Announcement, Answer, GuardAction, GuardMachine, GuardMessage,
-        endpoint_state::EndpointState, run::Run,
+        endpoint_state::EndpointState,
+        run::{Run, RunKey},
     },
-    chestnutrun_types::{DecisionNote, EndKind, EndpointId, EndpointInfo, Incarnation},
+    chestnutrun_types::{DecisionNote, EndKind, EndpointId, EndpointInfo, Incarnation, RunNumber},
     std::time::Instant,
 };
 
@@ -120,6 +121,21 @@
         true
     }
 
+    /// Takes the clock of an answer; returns the run that it is about, unless
+    /// that is over.
+    pub(super) fn answered_run(
+        &mut self,
+        now: Instant,
+        endpoint: Incarnation,
+        number: RunNumber,
+        answer: &Answer<()>,
+    ) -> Option<RunKey> {
+        if !self.note_clock(now, endpoint, answer) {
+            return None;
+        }
+        self.runs.numbered(number).map(|run| run.key.clone())
+    }
+
     pub(super) fn announced_info(&self) -> Option<EndpointInfo> {
         let clean = self.endpoint.as_ref().filter(|endpoint| endpoint.is_clean);
         clean.map(|endpoint| endpoint.info.clone())
--- a/crates/decisions/src/guard/stops.rs
+++ b/crates/decisions/src/guard/stops.rs
@@ -20,13 +20,12 @@
         number: RunNumber,
         answer: &Answer<()>,
     ) {
-        if !self.note_clock(now, endpoint, answer) {
+        let Some(key) = self.answered_run(now, endpoint, number, answer) else {
             return;
-        }
-        let Some(run) = self.runs.numbered(number) else {
+        };
+        let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
-        let key = run.key.clone();
         match answer {
             Answer::Done(..) if run.is_stopping() => {
                 run.phase = Phase::StopAnswered(now);
--- a/crates/decisions/tests/best_effort_site/site.rs
+++ b/crates/decisions/tests/best_effort_site/site.rs
@@ -855,7 +855,6 @@
         attempts: 3,
         stretch: 1.6,
         target_latency: Duration::from_millis(60),
-        timeout: Duration::from_secs(2),
         needs_advice: false,
     }
 }
--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -3,7 +3,9 @@
 use {
     crate::{
         Directory, DirectoryNews, DispatchError, EndpointOrders, SharedRouting,
-        entry_dialers::EntryDialers, recorder::Recorder, reload::SettingsFile,
+        entry_dialers::EntryDialers,
+        recorder::Recorder,
+        reload::{SettingsFile, reload},
         routing_news::RoutingNews,
     },
     chestnutrun_decisions::guard::{
@@ -148,7 +150,7 @@
         mut news: Receiver<DirectoryNews>,
     ) -> Result<(), DispatchError> {
         let mut terminate = signal(SignalKind::terminate()).map_err(DispatchError::Signal)?;
-        let mut reload = signal(SignalKind::hangup()).map_err(DispatchError::Signal)?;
+        let mut hang_up = signal(SignalKind::hangup()).map_err(DispatchError::Signal)?;
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.recorder.process("started", 0);
@@ -161,7 +163,7 @@
                 () = until(wake_at) => self.input(GuardInput::Tick),
                 _ = tick.tick() => self.tick(),
                 _ = terminate.recv() => self.leave(),
-                _ = reload.recv() => self.reload(),
+                _ = hang_up.recv() => self.reload(),
             }
         }
         self.close().await;
@@ -195,20 +197,10 @@
         recorder.close();
     }
 
-    /// Takes what may change of the settings; bad ones leave all as it is.
     fn reload(&mut self) {
-        match self.settings.reload() {
-            Ok(reloaded) => {
-                self.dialers.dial_seeds(&reloaded.seeds);
-                self.grace = reloaded.grace;
-                self.recorder.process("reloaded", self.guard.tasks());
-            }
-            Err(error) => {
-                log::error!("settings stay as they are: {error}");
-                self.recorder
-                    .process("settings-refused", self.guard.tasks());
-            }
-        }
+        let held = self.guard.tasks();
+        let grace = reload(&*self.settings, &mut self.dialers, &mut self.recorder, held);
+        self.grace = grace.unwrap_or(self.grace);
     }
 
     fn tick(&mut self) {
@@ -239,10 +231,12 @@
                 // An asker who went away needs no reply.
                 let gauges = [
                     ("tasks", as_u64(self.guard.tasks())),
-                    ("entries", as_u64(self.by_entry.len())),
+                    ("entry-links", as_u64(self.by_entry.len())),
                     ("routing-version", self.routing.version()),
+                    ("routing-age-seconds", self.routing.age().as_secs()),
                 ];
-                let _ = reply.send(self.recorder.text(&gauges));
+                let text = self.recorder.text(&gauges, &self.directory.calls());
+                let _ = reply.send(text);
             }
         }
     }
@@ -252,7 +246,9 @@
             DirectoryNews::Members(members) => {
                 self.dialers.dial_members(Now::read().instant, &members);
             }
-            DirectoryNews::Routing(_) | DirectoryNews::Reachable(_) => {}
+            DirectoryNews::Reachable(is_there) => self.recorder.dependency("directory", is_there),
+            // Agents have the routing table from entries.
+            DirectoryNews::Routing(_) => {}
         }
     }
 
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -20,6 +20,17 @@
     Reachable(bool),
 }
 
+/// How many calls of one kind ended in one way.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallCount {
+    /// What was called for.
+    pub call: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+    /// How often.
+    pub count: u64,
+}
+
 /// Where operators keep the routing table and entries record themselves.
 ///
 /// Each call goes on by itself and tells the outcome as news; a failure is
@@ -36,4 +47,7 @@
 
     /// Removes an entry's record.
     fn remove(&self, member: Member) -> Later<()>;
+
+    /// Counts the calls since the process started.
+    fn calls(&self) -> Vec<CallCount>;
 }
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -6,7 +6,7 @@
         entry_dialers::{ACCEPTED, EntryDialers, SITE_TOKEN},
         entry_peers::{EntryPeers, Peer},
         recorder::Recorder,
-        reload::SettingsFile,
+        reload::{SettingsFile, reload},
         routing_news::RoutingNews,
     },
     chestnutrun_decisions::placement::{
@@ -157,7 +157,7 @@
         mut news: Receiver<DirectoryNews>,
     ) -> Result<(), DispatchError> {
         let mut terminate = signal(SignalKind::terminate()).map_err(DispatchError::Signal)?;
-        let mut reload = signal(SignalKind::hangup()).map_err(DispatchError::Signal)?;
+        let mut hang_up = signal(SignalKind::hangup()).map_err(DispatchError::Signal)?;
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.recorder.process("started", 0);
@@ -168,7 +168,7 @@
                 Some(event) = news.recv() => self.directory_news(event),
                 _ = tick.tick() => self.tick(),
                 _ = terminate.recv() => self.leave(),
-                _ = reload.recv() => self.reload(),
+                _ = hang_up.recv() => self.reload(),
             }
         }
         self.close().await;
@@ -212,20 +212,10 @@
         recorder.close();
     }
 
-    /// Takes what may change of the settings; bad ones leave all as it is.
     fn reload(&mut self) {
-        match self.settings.reload() {
-            Ok(reloaded) => {
-                self.dialers.dial_seeds(&reloaded.seeds);
-                self.grace = reloaded.grace;
-                self.recorder.process("reloaded", self.callers.len());
-            }
-            Err(error) => {
-                log::error!("settings stay as they are: {error}");
-                self.recorder
-                    .process("settings-refused", self.callers.len());
-            }
-        }
+        let held = self.callers.len();
+        let grace = reload(&*self.settings, &mut self.dialers, &mut self.recorder, held);
+        self.grace = grace.unwrap_or(self.grace);
     }
 
     fn tick(&mut self) {
@@ -277,9 +267,13 @@
                 let gauges = [
                     ("jobs-held", as_u64(self.dispatcher.jobs())),
                     ("endpoints", as_u64(self.dispatcher.endpoints())),
+                    ("agent-links", as_u64(self.peers.agent_links())),
+                    ("entry-links", as_u64(self.peers.entries().len())),
                     ("routing-version", self.routing.version()),
+                    ("routing-age-seconds", self.routing.age().as_secs()),
                 ];
-                let _ = reply.send(self.recorder.text(&gauges));
+                let text = self.recorder.text(&gauges, &self.directory.calls());
+                let _ = reply.send(text);
             }
         }
     }
--- a/crates/dispatch/src/entry_peers.rs
+++ b/crates/dispatch/src/entry_peers.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns how many agents are linked.
+    pub(crate) fn agent_links(&self) -> usize {
+        self.agents.len()
+    }
+
     /// Returns the entries that are linked.
     pub(crate) fn entries(&self) -> Vec<Member> {
         let mut entries: Vec<Member> = Vec::new();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,7 +21,7 @@
 pub use {
     agent_loop::{AgentEvent, AgentLoop, AgentLoopConf},
     caller_desk::{CallerDesk, CallerEvent, JobReply, WaitingCaller},
-    directory::{Directory, DirectoryNews, Later},
+    directory::{CallCount, Directory, DirectoryNews, Later},
     endpoint_orders::EndpointOrders,
     entry_loop::{EntryLoop, EntryLoopConf},
     errors::DispatchError,
--- a/crates/dispatch/src/recorder.rs
+++ b/crates/dispatch/src/recorder.rs
@@ -1,6 +1,7 @@
 //! Writes decisions down and counts them.
 
 use {
+    crate::CallCount,
     chestnutrun_observe::{DecisionLog, DispatchMetrics},
     chestnutrun_types::{DecisionNote, Now},
     std::{
@@ -62,10 +63,13 @@
     }
 
     /// Returns the metrics as text, with some values of this moment.
-    pub(crate) fn text(&self, gauges: &[(&'static str, u64)]) -> String {
-        let Some(metrics) = &self.metrics else {
+    pub(crate) fn text(&mut self, gauges: &[(&'static str, u64)], calls: &[CallCount]) -> String {
+        let Some(metrics) = &mut self.metrics else {
             return String::new();
         };
+        for call in calls {
+            metrics.directory_calls(call.call, call.outcome, call.count);
+        }
         for (name, value) in gauges {
             metrics.set(name, *value);
         }
--- a/crates/dispatch/src/reload.rs
+++ b/crates/dispatch/src/reload.rs
@@ -1,6 +1,9 @@
 //! The border between the loops and the settings file.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use {
+    crate::{entry_dialers::EntryDialers, recorder::Recorder},
+    std::{fmt, net::SocketAddr, time::Duration},
+};
 
 /// What a process takes from its settings while it runs.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,3 +22,26 @@
     /// Returns what is wrong with it; the earlier settings then stay.
     fn reload(&self) -> Result<Reloaded, String>;
 }
+
+/// Takes what may change of the settings; bad ones leave all as it is.
+///
+/// Returns the new grace.
+pub(crate) fn reload(
+    settings: &dyn SettingsFile,
+    dialers: &mut EntryDialers,
+    recorder: &mut Recorder,
+    held: usize,
+) -> Option<Duration> {
+    match settings.reload() {
+        Ok(reloaded) => {
+            dialers.dial_seeds(&reloaded.seeds);
+            recorder.process("reloaded", held);
+            Some(reloaded.grace)
+        }
+        Err(error) => {
+            log::error!("settings stay as they are: {error}");
+            recorder.process("settings-refused", held);
+            None
+        }
+    }
+}
--- a/crates/observe/src/dispatch_metrics.rs
+++ b/crates/observe/src/dispatch_metrics.rs
@@ -6,7 +6,7 @@
         exporter::{Exporter, seconds},
     },
     chestnutrun_types::{DecisionNote, EndKind, RouteId},
-    indexmap::IndexSet,
+    indexmap::{IndexMap, IndexSet},
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Gauge, Histogram},
@@ -33,6 +33,8 @@
     waits: Histogram<f64>,
     run_times: Histogram<f64>,
     waits_at_agent: Histogram<f64>,
+    directory_calls: Counter<u64>,
+    counted_calls: IndexMap<(&'static str, &'static str), u64>,
     state: Gauge<u64>,
 }
 
@@ -62,6 +64,8 @@
             waits: times("chestnutrun_wait", "Waits for a place, by route."),
             run_times: times("chestnutrun_run", "Run times of tasks."),
             waits_at_agent: times("chestnutrun_agent_wait", "Waits at the agent."),
+            directory_calls: counter("chestnutrun_directory_calls", "Calls by outcome."),
+            counted_calls: IndexMap::new(),
             state: meter
                 .u64_gauge("chestnutrun_state")
                 .with_description("Present values, by name.")
@@ -113,6 +117,18 @@
         }
     }
 
+    /// Takes how many calls of the directory ended in one way by now.
+    pub fn directory_calls(&mut self, call: &'static str, outcome: &'static str, count: u64) {
+        let counted = self.counted_calls.entry((call, outcome)).or_default();
+        let labels = [
+            KeyValue::new("call", call),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.directory_calls
+            .add(count.saturating_sub(*counted), &labels);
+        *counted = count;
+    }
+
     /// Sets a present value.
     pub fn set(&self, name: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("name", name)]);
--- a/crates/observe/src/exporter.rs
+++ b/crates/observe/src/exporter.rs
@@ -4,7 +4,7 @@
     crate::MetricsError,
     opentelemetry::metrics::{Histogram, Meter, MeterProvider},
     opentelemetry_sdk::metrics::SdkMeterProvider,
-    prometheus::{Encoder, Registry, TextEncoder},
+    prometheus::{Encoder, Registry, TextEncoder, process_collector::ProcessCollector},
 };
 
 /// Upper bounds of the histograms' buckets, in seconds.
@@ -22,6 +22,10 @@
     /// Sets the exporter up; metrics are gathered when they are shown.
     pub(crate) fn new() -> Result<Self, MetricsError> {
         let registry = Registry::new();
+        registry
+            .register(Box::new(ProcessCollector::for_self()))
+            .map_err(|e| MetricsError::SetUp(e.to_string()))?;
+
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .without_target_info()
--- /dev/null
+++ b/crates/observe/tests/logs_page.rs
@@ -0,0 +1,223 @@
+//! The page about the log, held against what is written.
+
+use {
+    chestnutrun_observe::LogLine,
+    chestnutrun_types::{DecisionNote, EndKind, StepTask},
+    indexmap::{IndexMap, IndexSet},
+    rstest::rstest,
+    std::fs,
+};
+
+const TASK: StepTask = StepTask { step: 0, index: 0 };
+
+/// One of each decision.
+fn one_of_each() -> Vec<DecisionNote> {
+    let mut all = of_entries();
+    all.extend(of_agents());
+    all.extend(of_both());
+    let names: IndexSet<&str> = all.iter().map(DecisionNote::name).collect();
+    assert_eq!(names.len(), all.len(), "one of each");
+    all
+}
+
+fn of_entries() -> Vec<DecisionNote> {
+    vec![
+        DecisionNote::JobTaken {
+            job: "j".into(),
+            route: "r".into(),
+            tasks: 1,
+            chain_ms: 1,
+            slack_ms: 1,
+            caller_waits_ms: 1,
+            held: 1,
+        },
+        DecisionNote::TasksPlaced {
+            job: "j".into(),
+            agent: "a".into(),
+            assignment: 1,
+            tasks: 1,
+            after_ms: 1,
+            free_cpu_millis: 1,
+            report_age_ms: 1,
+        },
+        DecisionNote::TaskReturned {
+            job: "j".into(),
+            task: TASK,
+            agent: "a".into(),
+            run: 1,
+            how: EndKind::Failed,
+            ran_ms: 1,
+        },
+        DecisionNote::JobAnswered {
+            job: "j".into(),
+            route: "r".into(),
+            outcome: "completed".into(),
+            took_ms: 1,
+            placed_after_ms: Some(1),
+            done: 1,
+            at_agents: 0,
+            returned: 0,
+        },
+        DecisionNote::CallerGone {
+            job: "j".into(),
+            took_ms: 1,
+        },
+        DecisionNote::AgentLinked {
+            agent: "a".into(),
+            incarnation: 1,
+            endpoint: Some("e".into()),
+            live: 0,
+        },
+        DecisionNote::AgentLost {
+            agent: "a".into(),
+            in_doubt: 0,
+        },
+        DecisionNote::EndpointChanged {
+            agent: "a".into(),
+            endpoint: None,
+            incarnation: 1,
+            service: None,
+            cpu_millis: 0,
+        },
+    ]
+}
+
+fn of_agents() -> Vec<DecisionNote> {
+    vec![
+        DecisionNote::TaskStarted {
+            job: "j".into(),
+            task: TASK,
+            run: 1,
+            entry: "e".into(),
+            assignment: 1,
+            waited_ms: 1,
+            free_cpu_millis: 1,
+        },
+        DecisionNote::StartRefused {
+            job: "j".into(),
+            task: TASK,
+            run: 1,
+            reason: "no-room".into(),
+        },
+        DecisionNote::TaskStopped {
+            job: "j".into(),
+            task: TASK,
+            run: 1,
+            reason: "no-answer".into(),
+            percent: 0,
+        },
+        DecisionNote::TaskEnded {
+            job: "j".into(),
+            task: TASK,
+            run: 1,
+            how: EndKind::Done,
+            ran_ms: 1,
+        },
+        DecisionNote::EndpointNews {
+            endpoint: "e".into(),
+            incarnation: 1,
+            news: "usable".into(),
+        },
+        DecisionNote::EntryLost {
+            entry: "e".into(),
+            tasks: 0,
+            proof_age_ms: 1,
+        },
+    ]
+}
+
+fn of_both() -> Vec<DecisionNote> {
+    vec![
+        DecisionNote::RoutingInForce {
+            version: 2,
+            replaced: 1,
+            source: "peer".into(),
+        },
+        DecisionNote::Dependency {
+            name: "directory".into(),
+            is_there: false,
+        },
+        DecisionNote::Process {
+            news: "started".into(),
+            held: 0,
+        },
+        DecisionNote::LinesLeftOut { count: 1 },
+    ]
+}
+
+/// Returns the fields of each event, as the page has them.
+fn documented() -> IndexMap<String, IndexSet<String>> {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/LOGS.md");
+    let page = fs::read_to_string(page).expect("the page is there");
+    let rows = page.lines().filter(|line| line.starts_with("| `"));
+    let rows = rows.map(|row| {
+        let cells: Vec<&str> = row.trim_matches('|').split('|').collect();
+        let event = cells[0].trim().trim_matches('`').to_owned();
+        (event, names(cells[2]))
+    });
+    rows.collect()
+}
+
+/// Returns what stands in backticks outside of parentheses.
+fn names(cell: &str) -> IndexSet<String> {
+    let mut outside = String::new();
+    let mut depth = 0;
+    for letter in cell.chars() {
+        match letter {
+            '(' => depth += 1,
+            ')' => depth -= 1,
+            _ if depth == 0 => outside.push(letter),
+            _ => {}
+        }
+    }
+    let quoted = outside.split('`').skip(1).step_by(2);
+    quoted.map(str::to_owned).collect()
+}
+
+fn fields(note: DecisionNote) -> IndexSet<String> {
+    let line = LogLine {
+        at_us: 1,
+        process: "p".into(),
+        sequence: 1,
+        note,
+    };
+    let value = serde_json::to_value(line).expect("a line has an encoding");
+    let object = value.as_object().expect("a line is an object");
+    let common = ["at_us", "process", "sequence", "event"];
+    let own = object.keys().filter(|key| !common.contains(&key.as_str()));
+    own.cloned().collect()
+}
+
+#[rstest]
+fn the_page_has_every_event_with_its_fields() {
+    let page = documented();
+    let all = one_of_each();
+    assert_eq!(page.len(), all.len(), "{:?}", page.keys());
+    for note in all {
+        let event = note.name();
+        let written = fields(note);
+        let mut documented = page.get(event).cloned().unwrap_or_default();
+        documented.sort();
+        let mut written: IndexSet<String> = written;
+        written.sort();
+        assert_eq!(documented, written, "{event}");
+    }
+}
+
+#[rstest]
+fn the_page_names_every_way_in_which_a_run_ends() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/LOGS.md");
+    let page = fs::read_to_string(page).expect("the page is there");
+    let ends = [
+        EndKind::Done,
+        EndKind::Failed,
+        EndKind::NotStarted,
+        EndKind::Stopped,
+        EndKind::Stalled,
+    ];
+    for end in ends {
+        let name = serde_json::to_value(end).expect("it has an encoding");
+        let name = name.as_str().expect("it is a word");
+        assert!(page.contains(&format!("`{name}`")), "{name}");
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -42,7 +42,7 @@
     now::Now,
     refusal::{Refusal, RefusalReason},
     room::Room,
-    routing::{Route, RoutingTable, Service},
+    routing::{Route, RoutingTable},
     step::StepSpec,
     table::{TableRow, TableSnapshot, TableWrite, Versioned, WriteResult},
     task::{TaskRef, TaskSpec},
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -26,22 +26,12 @@
     pub stretch: f64,
     /// The objective allows this much beside the work.
     pub target_latency: Duration,
-    /// Longest time that a request may take.
-    pub timeout: Duration,
+
     /// Whether endpoints must be asked for beforehand; not supported.
     pub needs_advice: bool,
 }
 
-/// A pool of endpoints.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Service {
-    /// Name of the pool.
-    pub id: ServiceId,
-    /// Whether its endpoints refuse what does not fit.
-    pub guards_room: bool,
-}
-
-/// All routes and services at one version.
+/// All routes at one version.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RoutingTable {
@@ -49,8 +39,7 @@
     pub version: RoutingVersion,
     /// The routes, by name.
     pub routes: IndexMap<RouteId, Arc<Route>>,
-    /// The services, by name.
-    pub services: IndexMap<ServiceId, Service>,
+
     /// Longest body of a request, in bytes.
     pub max_body_bytes: usize,
 }
