Pause before an endpoint whose orders fail at once

Only the list of an endpoint that refused the connection was paced; a start that failed at once went back to its entry, which gave the agent the next one within a round trip, and a list or stop whose connection broke was sent again in the same step. Change: an endpoint takes no work for 100 ms after a start failed at once, and a list or stop that had no answer is sent again no sooner than 100 ms after it was sent; after a time-out that has passed.

--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         guard::{Announcement, EndNumber, EndpointClock, EndpointHealth},
-        timing::ENDPOINT_SILENCE_LIMIT,
+        timing::{ENDPOINT_SILENCE_LIMIT, REFUSED_PAUSE},
     },
     chestnutrun_types::EndpointInfo,
     std::time::Instant,
@@ -39,6 +39,8 @@
     pub(crate) poll_after: Option<Instant>,
     /// Moment until which no start is tried, after one was refused for room.
     pub(crate) full_until: Option<Instant>,
+    /// Moment until which no work is taken, after an order failed at once.
+    pub(crate) failing_until: Option<Instant>,
 }
 
 impl EndpointState {
@@ -55,6 +57,7 @@
             lists: ListsOut::default(),
             poll_after: None,
             full_until: None,
+            failing_until: None,
         }
     }
 
@@ -65,6 +68,17 @@
 
     /// Whether tasks may start.
     pub(crate) fn takes_work(&self, now: Instant) -> bool {
-        self.is_clean && !self.is_leaving && self.is_heard(now)
+        let is_failing = self.failing_until.is_some_and(|until| now < until);
+        self.is_clean && !self.is_leaving && !is_failing && self.is_heard(now)
+    }
+
+    /// Takes no work for a while where an order sent at `sent_at` has failed at
+    /// once: each try costs a connection. One that was not answered in time
+    /// has waited long enough.
+    pub(crate) fn note_failed(&mut self, now: Instant, sent_at: Instant) {
+        let until = sent_at + REFUSED_PAUSE;
+        if now < until {
+            self.failing_until = self.failing_until.max(Some(until));
+        }
     }
 }
--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -90,6 +90,7 @@
                 started_at: None,
                 percent: 0,
                 progressed_at: None,
+                stop_sent_at: None,
                 stop_again_at: None,
                 end_as: EndKind::NotStarted,
             });
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -35,7 +35,8 @@
             }
             Answer::Refused(_, OrderFault::StaleToken) => self.token += NUMBER_STEP,
             Answer::Refused(..) => endpoint.poll_after = Some(now + REFUSED_PAUSE),
-            Answer::Unknown => {}
+            // After a time-out that moment is over already.
+            Answer::Unknown => endpoint.poll_after = Some(order.sent_at + REFUSED_PAUSE),
         }
     }
 
--- a/crates/decisions/src/guard/run.rs
+++ b/crates/decisions/src/guard/run.rs
@@ -52,6 +52,8 @@
     /// Progress at the last change, and when that was seen.
     pub(crate) percent: u32,
     pub(crate) progressed_at: Option<Instant>,
+    /// When its stop was sent last.
+    pub(crate) stop_sent_at: Option<Instant>,
     /// When a stop that was refused is sent again.
     pub(crate) stop_again_at: Option<Instant>,
     /// How it is told to have ended once it is gone.
--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -36,8 +36,9 @@
                 run.end_as = EndKind::Stopped;
             }
             Answer::Unknown => {
+                let sent_at = run.started_at.unwrap_or(now);
                 self.note_refused_start(&key, "no-answer");
-                self.endpoint_failed();
+                self.endpoint_failed(now, sent_at);
                 self.stop(now, &key, EndKind::Stopped, "no-answer");
             }
             Answer::Refused(_, fault) => {
@@ -58,7 +59,7 @@
             }
             OrderFault::LeaseOver => {}
             OrderFault::Unwell | OrderFault::OtherIncarnation => {
-                self.endpoint_failed();
+                self.endpoint_failed(now, now);
                 self.finish(now, key, EndKind::NotStarted);
                 return;
             }
--- a/crates/decisions/src/guard/stops.rs
+++ b/crates/decisions/src/guard/stops.rs
@@ -37,7 +37,14 @@
                 self.order_stop(now, &key);
             }
             Answer::Refused(..) => run.stop_again_at = Some(now + REFUSED_PAUSE),
-            Answer::Unknown => self.order_stop(now, &key),
+            Answer::Unknown => {
+                let again_at = run.stop_sent_at.map_or(now, |at| at + REFUSED_PAUSE);
+                if now < again_at {
+                    run.stop_again_at = Some(again_at);
+                } else {
+                    self.order_stop(now, &key);
+                }
+            }
         }
     }
 
@@ -82,6 +89,7 @@
         let (Some(run), Some(endpoint)) = (self.runs.get_mut(key), &self.endpoint) else {
             return;
         };
+        run.stop_sent_at = Some(now);
         self.actions.push(GuardAction::Stop(StopOrder {
             endpoint: endpoint.info.endpoint.clone(),
             incarnation: endpoint.info.incarnation,
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -149,3 +149,72 @@
         "{asked} lists in a second"
     );
 }
+
+/// Orders a second to an endpoint whose connections fail at once: a list, a
+/// start and a stop each tenth of a second.
+const MOST_ORDERS: usize = 33;
+
+/// A way in which an order fails at once.
+#[derive(Clone, Copy, Debug)]
+enum AtOnce {
+    /// No connection was made.
+    Refused,
+    /// The connection broke after the order was sent.
+    Broken,
+}
+
+impl AtOnce {
+    fn answer<T>(self) -> Answer<T> {
+        match self {
+            Self::Refused => Answer::Refused(None, OrderFault::Unwell),
+            Self::Broken => Answer::Unknown,
+        }
+    }
+
+    /// Answers an order; none for what is no order.
+    fn input(self, action: GuardAction) -> Option<GuardInput> {
+        match action {
+            GuardAction::Start(order) => Some(GuardInput::Started(1, order.run, self.answer())),
+            GuardAction::Stop(order) => Some(GuardInput::Stopped(1, order.run, self.answer())),
+            GuardAction::List(order) => Some(GuardInput::Listed(1, order, self.answer())),
+            GuardAction::Send(..) | GuardAction::Note(_) => None,
+        }
+    }
+}
+
+#[rstest]
+#[case::refused(AtOnce::Refused)]
+#[case::broken(AtOnce::Broken)]
+fn an_endpoint_that_fails_at_once_gets_few_orders(#[case] fault: AtOnce) {
+    let begin = Instant::now();
+    let now = |millis| Now {
+        instant: begin + Duration::from_millis(millis),
+        wall: SystemTime::UNIX_EPOCH,
+    };
+    let entry: EntryId = "entry".into();
+    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let order = lists(guard.handle(now(0), GuardInput::Announced(announcement()))).remove(0);
+    let clean = Answer::Done(Duration::from_secs(1), ListReply::default());
+    let mut actions = guard.handle(now(0), GuardInput::Listed(1, order, clean));
+    guard.handle(now(0), GuardInput::LinkUp(entry.clone(), 1, "zone".into()));
+    let mut orders = 0;
+    for millis in 1..600 {
+        guard.handle(
+            now(millis),
+            GuardInput::Proven(entry.clone(), now(millis).instant),
+        );
+        if guard.takes_work(now(millis).instant) {
+            let job = format!("{millis:016x}");
+            let assigned = GuardInput::Assign(entry.clone(), assignment(millis, &job));
+            actions.extend(guard.handle(now(millis), assigned));
+        }
+        actions.extend(guard.handle(now(millis), GuardInput::Tick));
+        while let Some(action) = actions.pop() {
+            if let Some(input) = fault.input(action) {
+                orders += 1;
+                assert!(orders <= MOST_ORDERS, "{orders} within {millis} ms");
+                actions.extend(guard.handle(now(millis), input));
+            }
+        }
+    }
+}
