Leave an endpoint alone for a while that fails nearly everything

Change: an endpoint with more than 0.6 of its recent runs failed is told to one entry at a time, in turn, as free for one task, 250 ms after its last failure. No pause of work after one failed order; broken stops and lists are sent again after 50 ms.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -159,12 +159,9 @@
         });
     }
 
-    /// Takes that a start, sent at `sent_at`, had no effect that is known.
-    pub(super) fn endpoint_failed(&mut self, now: Instant, sent_at: Instant) {
+    pub(super) fn endpoint_failed(&mut self) {
         if let Some(endpoint) = &mut self.endpoint {
             endpoint.health.failed();
-            endpoint.note_failed(now, sent_at);
         }
-        self.mark_stale();
     }
 }
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         guard::{Announcement, EndNumber, EndpointClock, EndpointHealth},
-        timing::{ENDPOINT_SILENCE_LIMIT, REFUSED_PAUSE},
+        timing::{ENDPOINT_SILENCE_LIMIT, FAILING_PAUSE},
     },
     chestnutrun_types::EndpointInfo,
     std::time::Instant,
@@ -37,10 +37,12 @@
     pub(crate) lists: ListsOut,
     /// Moment until which no list is asked for, after one was refused.
     pub(crate) poll_after: Option<Instant>,
+    /// How many runs failed.
+    pub(crate) failures: usize,
+    /// When a run failed last.
+    pub(crate) failed_at: Option<Instant>,
     /// Moment until which no start is tried, after one was refused for room.
     pub(crate) full_until: Option<Instant>,
-    /// Moment until which no work is taken, after an order failed at once.
-    pub(crate) failing_until: Option<Instant>,
 }
 
 impl EndpointState {
@@ -56,8 +58,9 @@
             heard_at: now,
             lists: ListsOut::default(),
             poll_after: None,
+            failures: 0,
+            failed_at: None,
             full_until: None,
-            failing_until: None,
         }
     }
 
@@ -66,19 +69,34 @@
         now < self.heard_at + ENDPOINT_SILENCE_LIMIT
     }
 
-    /// Whether tasks may start.
-    pub(crate) fn takes_work(&self, now: Instant) -> bool {
-        let is_failing = self.failing_until.is_some_and(|until| now < until);
-        self.is_clean && !self.is_leaving && !is_failing && self.is_heard(now)
+    /// Returns how many tasks the endpoint is to get now.
+    pub(crate) fn most_tasks(&self, now: Instant, is_idle: bool) -> u16 {
+        if !self.health.is_suspect() {
+            return u16::MAX;
+        }
+        let rests =
+            self.health.is_failing() && self.failed_at.is_some_and(|at| now < at + FAILING_PAUSE);
+        u16::from(is_idle && !rests)
     }
 
-    /// Takes no work for a while where an order sent at `sent_at` has failed at
-    /// once: each try costs a connection. One that was not answered in time
-    /// has waited long enough.
-    pub(crate) fn note_failed(&mut self, now: Instant, sent_at: Instant) {
-        let until = sent_at + REFUSED_PAUSE;
-        if now < until {
-            self.failing_until = self.failing_until.max(Some(until));
-        }
+    /// Returns whose turn among `entries` it is to try an endpoint that fails
+    /// nearly everything; none where each may.
+    pub(crate) fn turn(&self, now: Instant, entries: usize) -> Option<usize> {
+        let failed_at = self.failed_at.filter(|_| self.health.is_failing())?;
+        let since = now.saturating_duration_since(failed_at).as_millis();
+        let turns = usize::try_from(since / FAILING_PAUSE.as_millis()).unwrap_or_default();
+        Some((turns + self.failures) % entries.max(1))
+    }
+
+    /// Notes that a run failed.
+    pub(crate) fn run_failed(&mut self, now: Instant) {
+        self.health.failed();
+        self.failed_at = Some(now);
+        self.failures += 1;
+    }
+
+    /// Whether tasks may start.
+    pub(crate) fn takes_work(&self, now: Instant) -> bool {
+        self.is_clean && !self.is_leaving && self.is_heard(now)
     }
 }
--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -183,9 +183,14 @@
     }
 
     pub(super) fn report(&mut self, now: Instant) {
-        let room = self.room(now);
+        let common = self.room(now);
         let zone = self.zone();
-        for (entry, state) in &mut self.entries {
+        let turn = self
+            .endpoint
+            .as_ref()
+            .and_then(|endpoint| endpoint.turn(now, self.entries.len()));
+        for (position, (entry, state)) in self.entries.iter_mut().enumerate() {
+            let room = common.in_turn(turn.is_none_or(|turn| turn == position));
             let is_due = state
                 .report_at(now, &zone, room)
                 .is_some_and(|at| at <= now);
@@ -215,10 +220,10 @@
                 slowness: 1.0,
             };
         };
-        let most_tasks = match (self.takes_work(now), endpoint.health.is_suspect()) {
-            (false, _) => 0,
-            (true, false) => u16::MAX,
-            (true, true) => u16::from(self.runs.is_empty()),
+        let most_tasks = if self.takes_work(now) {
+            endpoint.most_tasks(now, self.runs.is_empty())
+        } else {
+            0
         };
         RoomToTell {
             free: endpoint.info.total.minus(self.runs.claimed()),
--- a/crates/decisions/src/guard/entry_state.rs
+++ b/crates/decisions/src/guard/entry_state.rs
@@ -21,6 +21,16 @@
     pub(crate) slowness: f32,
 }
 
+impl RoomToTell {
+    /// Returns the same without tasks for an entry whose turn it is not.
+    pub(crate) fn in_turn(self, is_in_turn: bool) -> Self {
+        Self {
+            most_tasks: if is_in_turn { self.most_tasks } else { 0 },
+            ..self
+        }
+    }
+}
+
 /// What an agent knows of one entry.
 #[derive(Debug)]
 pub(crate) struct EntryState {
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -94,8 +94,8 @@
         !self.is_leaving && endpoint.is_some_and(|e| e.takes_work(now))
     }
 
-    /// Returns when an update that was held back is due, or a task has waited
-    /// long enough.
+    /// Returns when an update that was held back is due, a task has waited long
+    /// enough, or a stop is to be sent again.
     #[must_use]
     pub fn wake_at(&self, now: Instant) -> Option<Instant> {
         let room = self.room(now);
@@ -104,7 +104,9 @@
             .entries
             .values()
             .filter_map(|e| e.report_at(now, &zone, room));
-        due.chain(self.runs.first_start_by()).min()
+        due.chain(self.runs.first_start_by())
+            .chain(self.runs.first_stop_again())
+            .min()
     }
 
     pub(super) fn leave(&mut self, now: Instant) {
@@ -134,6 +136,14 @@
             self.return_waiting(now);
             self.mark_stale();
         }
+        let is_failing = self
+            .endpoint
+            .as_ref()
+            .is_some_and(|e| e.health.is_failing());
+        if is_failing {
+            // Whose turn it is to try the endpoint changes with time.
+            self.mark_stale();
+        }
         self.stop_again(now);
         self.lapse(now);
     }
--- a/crates/decisions/src/guard/health.rs
+++ b/crates/decisions/src/guard/health.rs
@@ -8,6 +8,11 @@
 /// failures in a row after successes.
 const SUSPECT_SHARE: f32 = 0.3;
 
+/// Share of failures above which an endpoint is tried only now and then: five
+/// failures in a row after successes, which tasks that fail everywhere hardly
+/// cause.
+const FAILING_SHARE: f32 = 0.6;
+
 /// Weight of the newest run time in the slowness.
 const SLOWNESS_WEIGHT: f32 = 0.1;
 
@@ -50,6 +55,12 @@
         self.failures > SUSPECT_SHARE
     }
 
+    /// Whether the endpoint fails nearly everything.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        self.failures > FAILING_SHARE
+    }
+
     /// Returns the observed run time over the expected one.
     #[must_use]
     pub fn slowness(&self) -> f32 {
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -6,7 +6,10 @@
             Answer, GuardAction, GuardMachine, ListOrder, ListReply, ListedEnd, OrderFault, RunEnd,
             run::{Phase, Run},
         },
-        timing::{IDLE_POLL_WAIT, NUMBER_STEP, ORDER_TIMEOUT, POLL_WAIT, REFUSED_PAUSE, RUN_LEASE},
+        timing::{
+            BROKEN_PAUSE, IDLE_POLL_WAIT, NUMBER_STEP, ORDER_TIMEOUT, POLL_WAIT, REFUSED_PAUSE,
+            RUN_LEASE,
+        },
     },
     chestnutrun_types::{EndKind, Incarnation},
     std::time::{Duration, Instant},
@@ -36,7 +39,7 @@
             Answer::Refused(_, OrderFault::StaleToken) => self.token += NUMBER_STEP,
             Answer::Refused(..) => endpoint.poll_after = Some(now + REFUSED_PAUSE),
             // After a time-out that moment is over already.
-            Answer::Unknown => endpoint.poll_after = Some(order.sent_at + REFUSED_PAUSE),
+            Answer::Unknown => endpoint.poll_after = Some(order.sent_at + BROKEN_PAUSE),
         }
     }
 
@@ -95,7 +98,7 @@
         let ratio = run.ran(now).as_secs_f32() / expected;
         match kind {
             EndKind::Done => endpoint.health.completed(ratio),
-            EndKind::Failed | EndKind::Stalled => endpoint.health.failed(),
+            EndKind::Failed | EndKind::Stalled => endpoint.run_failed(now),
             EndKind::NotStarted | EndKind::Stopped => {}
         }
         self.finish(now, &key, kind);
--- a/crates/decisions/src/guard/runs.rs
+++ b/crates/decisions/src/guard/runs.rs
@@ -75,6 +75,12 @@
         waiting.into_iter().map(|(_, key)| key.clone()).collect()
     }
 
+    /// Returns when the first of the stops that were put off is due.
+    pub(crate) fn first_stop_again(&self) -> Option<Instant> {
+        let due = self.iter().filter_map(|run| run.stop_again_at);
+        due.min()
+    }
+
     /// Returns the moment at which the first waiting task has waited enough.
     pub(crate) fn first_start_by(&self) -> Option<Instant> {
         let waiting = self.by_key.values().filter_map(|run| match run.phase {
--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -36,9 +36,8 @@
                 run.end_as = EndKind::Stopped;
             }
             Answer::Unknown => {
-                let sent_at = run.started_at.unwrap_or(now);
                 self.note_refused_start(&key, "no-answer");
-                self.endpoint_failed(now, sent_at);
+                self.endpoint_failed();
                 self.stop(now, &key, EndKind::Stopped, "no-answer");
             }
             Answer::Refused(_, fault) => {
@@ -59,7 +58,7 @@
             }
             OrderFault::LeaseOver => {}
             OrderFault::Unwell | OrderFault::OtherIncarnation => {
-                self.endpoint_failed(now, now);
+                self.endpoint_failed();
                 self.finish(now, key, EndKind::NotStarted);
                 return;
             }
--- a/crates/decisions/src/timing.rs
+++ b/crates/decisions/src/timing.rs
@@ -62,6 +62,15 @@
 /// endpoint without a listener refuses at once, and each connection is paid for.
 pub const REFUSED_PAUSE: Duration = Duration::from_millis(100);
 
+/// Shortest time from an order whose connection broke to the next of its kind:
+/// some round trips, so that an endpoint that breaks a part of its connections
+/// keeps most of its work.
+pub const BROKEN_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long an endpoint that fails nearly everything is left alone after a
+/// failure: each costs a job some 60 ms, and the spells last seconds.
+pub const FAILING_PAUSE: Duration = Duration::from_millis(250);
+
 /// How long a start is put off after one was refused for want of room.
 pub const NO_ROOM_PAUSE: Duration = Duration::from_millis(20);
 
