Take an order whose connection closed for one that may be carried out

The HTTP library reports ConnectError::Disconnected without a cause where the peer closes the connection after the request was sent, and every connect error was taken for 'nothing was sent', so the agent gave the task back as not started. Change: one function, in chestnutrun-net, tells whether a request was not sent; a disconnection without a cause counts as sent.

--- a/crates/agent/src/http_endpoint.rs
+++ b/crates/agent/src/http_endpoint.rs
@@ -3,6 +3,7 @@
 use {
     crate::{AgentError, Endpoint, Run},
     chestnutrun_decisions::agent::RunOutcome,
+    chestnutrun_net::was_not_sent,
     chestnutrun_types::{KindId, Start, TaskRef},
     ntex::{
         client::{Client, ClientRequest, Connector, error::ClientError},
@@ -106,8 +107,9 @@
 
 /// A request that never got a connection was not sent.
 fn not_answered(error: &ClientError) -> RunOutcome {
-    match error {
-        ClientError::Connect(_) => RunOutcome::NotStarted,
-        _ => RunOutcome::Unknown,
+    if was_not_sent(error) {
+        RunOutcome::NotStarted
+    } else {
+        RunOutcome::Unknown
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 mod link;
 mod link_client;
 mod link_server;
+mod not_sent;
 mod request_fault;
 mod tls;
 
@@ -16,6 +17,7 @@
     link::{Link, LinkEvent, LinkId, LinkIds, LinkTiming, PeerName},
     link_client::{Dialer, DialerConf},
     link_server::{LinkServerConf, serve_links},
+    not_sent::was_not_sent,
     request_fault::{FaultResponse, RequestFault},
     tls::{TlsError, tls_config},
 };
