Give starts and stops 60 ms to be answered

Cause: a start that got lost held its room and its task for 120 ms, more than the 100 ms or so for which a short job may be late. Change: starts and stops time out after 60 ms, lists after 120 ms as before; a worker answers its agent in about a millisecond.

--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -6,7 +6,7 @@
             Answer, GuardAction, GuardMachine, OrderFault, StartOrder,
             run::{Phase, RunKey},
         },
-        timing::{ENTRY_PROOF_LIMIT, NO_ROOM_PAUSE, NUMBER_STEP, ORDER_TIMEOUT, RUN_LEASE, millis},
+        timing::{ENTRY_PROOF_LIMIT, NO_ROOM_PAUSE, NUMBER_STEP, RUN_LEASE, START_TIMEOUT, millis},
     },
     chestnutrun_types::{DecisionNote, EndKind, Incarnation, Room, RunNumber},
     std::time::Instant,
@@ -121,7 +121,7 @@
             payload: run.payload.clone(),
             until: endpoint.clock.lease(now, RUN_LEASE),
             token: self.token,
-            answer_by: now + ORDER_TIMEOUT,
+            answer_by: now + START_TIMEOUT,
         }));
         let note = DecisionNote::TaskStarted {
             job: run.task.job.clone(),
--- a/crates/decisions/src/guard/stops.rs
+++ b/crates/decisions/src/guard/stops.rs
@@ -6,7 +6,7 @@
             Answer, GuardAction, GuardMachine, OrderFault, StopOrder,
             run::{Phase, RunKey},
         },
-        timing::{BROKEN_PAUSE, NUMBER_STEP, ORDER_TIMEOUT, REFUSED_PAUSE, STALL_LIMIT},
+        timing::{BROKEN_PAUSE, NUMBER_STEP, REFUSED_PAUSE, STALL_LIMIT, START_TIMEOUT},
     },
     chestnutrun_types::{DecisionNote, EndKind, Incarnation, RunNumber, TaskId},
     std::time::Instant,
@@ -96,7 +96,7 @@
             task: run.task.clone(),
             run: run.number,
             token: self.token,
-            answer_by: now + ORDER_TIMEOUT,
+            answer_by: now + START_TIMEOUT,
         }));
     }
 
@@ -109,7 +109,7 @@
                 task,
                 run,
                 token: self.token,
-                answer_by: now + ORDER_TIMEOUT,
+                answer_by: now + START_TIMEOUT,
             }));
         }
     }
--- a/crates/decisions/src/timing.rs
+++ b/crates/decisions/src/timing.rs
@@ -38,6 +38,11 @@
 /// of each tenth of a second may stand still for most of one.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// The same for starts and stops, which are answered at once: half of what a job
+/// of some 100 ms may be late, so that one whose start got lost is in time all
+/// the same.
+pub const START_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// How long an endpoint may wait for an end before it lists what runs: three
 /// orders within the lease.
 pub const POLL_WAIT: Duration = Duration::from_millis(150);
