Stop at an endpoint that came back what was started before

Executor 1 had crashed and started again under its id; the start reached the new incarnation, which takes it (the id is the same, its floors and token are gone, a lease that is too long is cut); 199 ms later the announcement came, and the agent ended all tasks as stopped, so the entry placed it elsewhere. The stand-in announces itself up to 300 ms late, but the platform may carry out a lost order seconds later as well. Change: where an endpoint comes back under its id, the token is raised and what was started is stopped at the new incarnation; it ends once a later list does not show it.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -1,10 +1,13 @@
 //! What the endpoint says of itself.
 
 use {
-    crate::guard::{
-        Announcement, Answer, GuardAction, GuardMachine, GuardMessage,
-        endpoint_state::EndpointState,
-        run::{Run, RunKey},
+    crate::{
+        guard::{
+            Announcement, Answer, GuardAction, GuardMachine, GuardMessage,
+            endpoint_state::EndpointState,
+            run::{Phase, Run, RunKey},
+        },
+        timing::NUMBER_STEP,
     },
     chestnutrun_types::{DecisionNote, EndKind, EndpointId, EndpointInfo, Incarnation, RunNumber},
     std::time::Instant,
@@ -23,10 +26,7 @@
             return;
         }
         if !is_same {
-            self.lose_all(now);
-            self.endpoint_news(&announcement.info, "replaced");
-            self.endpoint = Some(EndpointState::new(now, announcement));
-            self.tell_endpoint();
+            self.replaced(now, announcement);
             return;
         }
         if announcement.sequence <= endpoint.sequence {
@@ -48,6 +48,34 @@
         }
     }
 
+    /// Takes another endpoint, or the same one after a start.
+    ///
+    /// Under the same id an order for the earlier incarnation may have reached
+    /// the new one, or may still do so: what was started is stopped there, under
+    /// a token that shuts out what comes later.
+    fn replaced(&mut self, now: Instant, announcement: Announcement) {
+        let is_same_id = self
+            .endpoint
+            .as_ref()
+            .is_some_and(|endpoint| endpoint.info.endpoint == announcement.info.endpoint);
+        if is_same_id {
+            self.return_waiting(now);
+        } else {
+            self.lose_all(now);
+        }
+        self.endpoint_news(&announcement.info, "replaced");
+        self.endpoint = Some(EndpointState::new(now, announcement));
+        self.token += NUMBER_STEP;
+        for key in self.runs.keys(|_| true) {
+            if let Some(run) = self.runs.get_mut(&key) {
+                run.phase = Phase::Stopping;
+                run.end_as = EndKind::Stopped;
+            }
+            self.order_stop(now, &key);
+        }
+        self.tell_endpoint();
+    }
+
     pub(super) fn endpoint_ended(&mut self, now: Instant, ended: &EndpointId) {
         if self
             .endpoint
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -377,3 +377,58 @@
     }
     panic!("the end is not known after {END_KNOWN_WITHIN} ms");
 }
+
+#[rstest]
+fn what_was_started_before_an_endpoint_came_back_is_stopped_there_first() {
+    let begin = Instant::now();
+    let now = |millis| Now {
+        instant: begin + Duration::from_millis(millis),
+        wall: SystemTime::UNIX_EPOCH,
+    };
+    let clock = Duration::from_secs(1);
+    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let order = lists(guard.handle(now(0), GuardInput::Announced(announcement()))).remove(0);
+    let empty = || Answer::Done(clock, ListReply::default());
+    guard.handle(now(0), GuardInput::Listed(1, order, empty()));
+    guard.handle(now(0), GuardInput::LinkUp("entry".into(), 1, "zone".into()));
+    guard.handle(now(0), GuardInput::Proven("entry".into(), begin));
+    let job = "00000000000000a1";
+    let actions = guard.handle(
+        now(0),
+        GuardInput::Assign("entry".into(), assignment(1, job)),
+    );
+    let start = actions.iter().find_map(|action| match action {
+        GuardAction::Start(order) => Some(order.clone()),
+        _ => None,
+    });
+    let start = start.expect("the task starts");
+    let started = GuardInput::Started(1, start.run, Answer::Done(clock, ()));
+    guard.handle(now(1), started);
+    // The endpoint had started again before the order reached it.
+    let mut again = announcement();
+    again.info.incarnation = 2;
+    let actions = guard.handle(now(10), GuardInput::Announced(again));
+    assert_eq!(guard.tasks(), 1, "the task may run at the new incarnation");
+    let stop = actions.iter().find_map(|action| match action {
+        GuardAction::Stop(order) => Some(order.clone()),
+        _ => None,
+    });
+    let stop = stop.expect("it is stopped there");
+    assert_eq!((stop.run, stop.incarnation), (start.run, 2));
+    assert!(stop.token > start.token, "earlier orders are shut out");
+    let stopped = GuardInput::Stopped(2, stop.run, Answer::Done(clock, ()));
+    let order = lists(guard.handle(now(12), stopped)).remove(0);
+    guard.handle(now(14), GuardInput::Listed(2, order, empty()));
+    let order = ListOrder {
+        endpoint: "endpoint".into(),
+        incarnation: 2,
+        until: None,
+        seen: 0,
+        wait: Duration::from_millis(150),
+        token: stop.token,
+        sent_at: now(13).instant,
+        answer_by: now(200).instant,
+    };
+    guard.handle(now(15), GuardInput::Listed(2, order, empty()));
+    assert_eq!(guard.tasks(), 0, "a later list does not show it");
+}
--- a/crates/net/tests/not_sent.rs
+++ b/crates/net/tests/not_sent.rs
@@ -16,7 +16,7 @@
     let client = Client::builder().build(SharedCfg::default()).await;
     let client = client.expect("a client");
     let sent = client.post(format!("http://{to}/")).send_body("run").await;
-    sent.err().expect("nobody answers")
+    sent.expect_err("nobody answers")
 }
 
 #[rstest]
