--- a/crates/decisions/tests/best_effort_site/endpoint.rs
+++ b/crates/decisions/tests/best_effort_site/endpoint.rs
@@ -153,7 +153,7 @@
         judge: &mut Judge,
     ) -> Answer<()> {
         self.advance(at, judge);
-        if let Some(fault) = self.check(order.incarnation, order.token) {
+        if let Some(fault) = self.check(order.token) {
             return self.refused(at, fault);
         }
         let until = u64::try_from(order.until.as_millis()).unwrap();
@@ -194,7 +194,7 @@
         judge: &mut Judge,
     ) -> Answer<()> {
         self.advance(at, judge);
-        if let Some(fault) = self.check(order.incarnation, order.token) {
+        if let Some(fault) = self.check(order.token) {
             return self.refused(at, fault);
         }
         let floor = self.floors.entry(order.task.clone()).or_default();
@@ -207,7 +207,7 @@
 
     pub fn list(&mut self, at: Millis, order: &ListOrder, judge: &mut Judge) -> Answer<ListReply> {
         self.advance(at, judge);
-        if let Some(fault) = self.check(order.incarnation, order.token) {
+        if let Some(fault) = self.check(order.token) {
             return match self.refused(at, fault) {
                 Answer::Refused(clock, fault) => Answer::Refused(clock, fault),
                 Answer::Done(..) | Answer::Unknown => Answer::Unknown,
@@ -216,6 +216,10 @@
         if let Some(until) = order.until {
             self.renew(at, u64::try_from(until.as_millis()).unwrap());
         }
+        if order.incarnation != self.incarnation {
+            // The agent compares the time of birth that a list carries.
+            return Answer::Refused(None, OrderFault::OtherIncarnation);
+        }
         let running = self.runs.iter().map(|(run, running)| ListedRun {
             task: running.task.clone(),
             run: *run,
@@ -244,10 +248,9 @@
         u32::try_from(share.min(99)).unwrap()
     }
 
-    fn check(&mut self, incarnation: u64, token: FencingToken) -> Option<OrderFault> {
-        if incarnation != self.incarnation {
-            return Some(OrderFault::OtherIncarnation);
-        }
+    /// Orders name the endpoint by its id, which it keeps when it starts again,
+    /// so that those for an earlier incarnation are carried out.
+    fn check(&mut self, token: FencingToken) -> Option<OrderFault> {
         if token < self.token {
             return Some(OrderFault::StaleToken);
         }
--- a/crates/decisions/tests/best_effort_site/site.rs
+++ b/crates/decisions/tests/best_effort_site/site.rs
@@ -246,7 +246,8 @@
             Event::Restart(node) => self.restart(node),
             Event::EndpointRestarts(number) => {
                 self.endpoints[number].restart(self.at);
-                self.after(20, Event::Announce(number));
+                let announced_after = self.rng.random_range(1..400);
+                self.after(announced_after, Event::Announce(number));
             }
             Event::Announce(number) => self.announce(number),
             Event::Probe(agent, entry) => self.probe(agent, entry),
