--- /dev/null
+++ b/crates/decisions/tests/best_effort_site/orders.rs
@@ -0,0 +1,125 @@
+//! Orders of agents to their endpoints.
+
+use {
+    super::{
+        Site,
+        events::{Event, Input, Node, Order},
+        site::{delay, entry_number},
+    },
+    chestnutrun_decisions::guard::{Answer, GuardAction, GuardInput},
+    rand::RngExt,
+    std::time::Instant,
+};
+
+impl Site {
+    pub(super) fn agent_action(&mut self, number: usize, action: GuardAction) {
+        self.trace(&(Node::Agent(number), &action));
+        match action {
+            GuardAction::Note(_) => {}
+            GuardAction::Send(entry, message) => {
+                let entry = entry_number(&entry);
+                let link = self.links[number][entry];
+                if link.is_open {
+                    let delay = delay(number, entry);
+                    let input = Input::FromAgent(number, link.generation, message);
+                    self.tell(Node::Entry(entry), delay, input);
+                }
+            }
+            GuardAction::Start(order) => {
+                let unknown = GuardInput::Started(order.incarnation, order.run, Answer::Unknown);
+                let answer_by = order.answer_by;
+                self.send_order(number, unknown, answer_by, |id| Order::Start(id, order));
+            }
+            GuardAction::Stop(order) => {
+                let unknown = GuardInput::Stopped(order.incarnation, order.run, Answer::Unknown);
+                let answer_by = order.answer_by;
+                self.send_order(number, unknown, answer_by, |id| Order::Stop(id, order));
+            }
+            GuardAction::List(order) => {
+                let unknown = GuardInput::Listed(order.incarnation, order.clone(), Answer::Unknown);
+                let wait = u64::try_from(order.wait.as_millis()).unwrap();
+                let (answer_by, until) = (order.answer_by, self.at + wait);
+                self.send_order(number, unknown, answer_by, |id| {
+                    Order::List(id, order, until)
+                });
+            }
+        }
+    }
+
+    pub(super) fn send_order(
+        &mut self,
+        number: usize,
+        unknown: GuardInput,
+        answer_by: Instant,
+        order: impl FnOnce(u64) -> Order,
+    ) {
+        let id = self.next_order;
+        self.next_order += 1;
+        let run = self.agents[number].run;
+        self.agents[number].orders.insert(id, unknown);
+        let patience = answer_by.saturating_duration_since(self.now(self.at).instant);
+        let patience = u64::try_from(patience.as_millis()).unwrap();
+        self.after(patience, Event::GiveUpOrder(number, run, id));
+        let (delay, is_answered) = if self.rng.random_bool(self.late_share) {
+            (self.rng.random_range(2_000..6_000), false)
+        } else {
+            let is_answered = !self.rng.random_bool(self.lost_share);
+            (self.rng.random_range(0..3), is_answered)
+        };
+        self.after(delay, Event::Order(number, run, order(id), is_answered));
+    }
+
+    pub(super) fn give_up_order(&mut self, number: usize, run: u64, id: u64) {
+        if self.agents[number].run != run {
+            return;
+        }
+        if let Some(unknown) = self.agents[number].orders.get(&id).cloned() {
+            let input = Input::Answered(id, unknown);
+            self.after(0, Event::Process(Node::Agent(number), run, input));
+        }
+    }
+
+    /// Lets an order reach the endpoint, whether or not the agent still lives.
+    pub(super) fn order(&mut self, number: usize, run: u64, order: Order, is_answered: bool) {
+        self.trace(&("order", number, &order, is_answered));
+        let at = self.at;
+        let endpoint = &mut self.endpoints[number];
+        if !endpoint.is_up {
+            return;
+        }
+        let judge = &mut self.judge;
+        let (id, answer) = match order {
+            Order::Start(id, order) => {
+                let work = self.work.get(&order.task.job).copied().unwrap_or(1);
+                let answer = endpoint.start(at, &order, work, judge);
+                (
+                    id,
+                    GuardInput::Started(order.incarnation, order.run, answer),
+                )
+            }
+            Order::Stop(id, order) => {
+                let takes = self.rng.random_range(0..50);
+                let answer = endpoint.stop(at, &order, takes, judge);
+                (
+                    id,
+                    GuardInput::Stopped(order.incarnation, order.run, answer),
+                )
+            }
+            Order::List(id, order, until) => {
+                endpoint.advance(at, judge);
+                if at < until && !endpoint.has_ends(&order) {
+                    let again = Order::List(id, order, until);
+                    self.after(5, Event::Order(number, run, again, is_answered));
+                    return;
+                }
+                let answer = endpoint.list(at, &order, judge);
+                (id, GuardInput::Listed(order.incarnation, order, answer))
+            }
+        };
+        if is_answered && self.agents[number].run == run {
+            let delay = self.rng.random_range(0..2);
+            let input = Input::Answered(id, answer);
+            self.after(delay, Event::Process(Node::Agent(number), run, input));
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/best_effort_site/troubles.rs
@@ -0,0 +1,223 @@
+//! What befalls processes, links and endpoints.
+
+use {
+    super::{
+        Millis, Site,
+        events::{Event, Input, Node},
+        site::{
+            AGENTS, ANNOUNCE_INTERVAL, CALLER_WAITS, ENTRIES, MEAN_FAULT_PAUSE, PROBE_INTERVAL,
+            RESUBMIT_AFTER, SILENCE_LIMIT, new_agent, new_entry,
+        },
+    },
+    chestnutrun_decisions::placement::{CallerId, DispatchInput},
+    rand::RngExt,
+};
+
+impl Site {
+    pub(super) fn fault(&mut self) {
+        if !self.has_faults {
+            return;
+        }
+        let pause = self.rng.random_range(1..MEAN_FAULT_PAUSE * 2);
+        self.after(pause, Event::Fault);
+        let entry = self.rng.random_range(0..ENTRIES);
+        let agent = self.rng.random_range(0..AGENTS);
+        let length = self.rng.random_range(50..2_500);
+        let node = if self.rng.random_bool(0.5) {
+            Node::Entry(entry)
+        } else {
+            Node::Agent(agent)
+        };
+        match self.rng.random_range(0..10) {
+            0 => self.kill(node, length),
+            1 | 2 => self.freeze(node, length),
+            3 => self.cut(agent, entry, length),
+            4 => self.cut(agent, entry, 0),
+            5 => self.endpoint_crash(agent, length),
+            6 => self.endpoints[agent].fails_until = self.at + length,
+            7 => self.endpoints[agent].stalls_until = self.at + length,
+            8 => self.late_share = if self.late_share > 0.0 { 0.0 } else { 0.07 },
+            _ => self.lost_share = if self.lost_share > 0.0 { 0.0 } else { 0.07 },
+        }
+    }
+
+    pub(super) fn endpoint_crash(&mut self, number: usize, length: Millis) {
+        if self.endpoints[number].is_up {
+            self.endpoints[number].crash(&mut self.judge);
+            self.after(length, Event::EndpointRestarts(number));
+        }
+    }
+
+    pub(super) fn freeze(&mut self, node: Node, length: Millis) {
+        self.trace(&("fault freeze", node, length));
+        let until = self.at + length;
+        match node {
+            Node::Entry(number) => {
+                let entry = &mut self.entries[number];
+                entry.frozen_until = entry.frozen_until.max(until);
+            }
+            Node::Agent(number) => {
+                let agent = &mut self.agents[number];
+                agent.frozen_until = agent.frozen_until.max(until);
+            }
+        }
+        self.after(length, Event::Thaw(node));
+        let peers: Vec<(usize, usize)> = match node {
+            Node::Entry(entry) => (0..AGENTS).map(|agent| (agent, entry)).collect(),
+            Node::Agent(agent) => (0..ENTRIES).map(|entry| (agent, entry)).collect(),
+        };
+        // The other side closes links that are silent for too long.
+        if length > SILENCE_LIMIT {
+            for (agent, entry) in peers {
+                self.cut(agent, entry, length);
+            }
+        }
+        if let Node::Entry(entry) = node
+            && length > CALLER_WAITS / 2
+        {
+            self.break_callers(entry);
+        }
+    }
+
+    pub(super) fn thaw(&mut self, node: Node) {
+        for (told, run, input) in std::mem::take(&mut self.backlogs) {
+            if told == node {
+                self.process(told, run, input);
+            } else {
+                self.backlogs.push((told, run, input));
+            }
+        }
+    }
+
+    pub(super) fn kill(&mut self, node: Node, length: Millis) {
+        self.trace(&("fault kill", node, length));
+        match node {
+            Node::Entry(number) if self.entries[number].is_up => {
+                self.entries[number].is_up = false;
+                self.break_callers(number);
+                for agent in 0..AGENTS {
+                    self.cut(agent, number, 0);
+                }
+            }
+            Node::Agent(number) if self.agents[number].is_up => {
+                self.agents[number].is_up = false;
+                for entry in 0..ENTRIES {
+                    self.cut(number, entry, 0);
+                }
+            }
+            _ => return,
+        }
+        self.after(length, Event::Restart(node));
+    }
+
+    /// Callers whose connection broke submit again.
+    pub(super) fn break_callers(&mut self, entry: usize) {
+        let broken: Vec<CallerId> = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| caller.entry == entry)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in broken {
+            let Some(caller) = self.callers.swap_remove(&id) else {
+                continue;
+            };
+            let input = Input::Dispatch(DispatchInput::Gone(id));
+            self.tell(Node::Entry(entry), 1, input);
+            self.after(RESUBMIT_AFTER, Event::Resubmit(caller.job));
+        }
+    }
+
+    pub(super) fn restart(&mut self, node: Node) {
+        let at = self.at;
+        match node {
+            Node::Entry(number) => {
+                let run = self.entries[number].run + 1;
+                self.entries[number] = new_entry(run);
+            }
+            Node::Agent(number) => {
+                let run = self.agents[number].run + 1;
+                self.agents[number] = new_agent(run, 1_000_000 + at);
+            }
+        }
+        self.tell(node, 1, Input::Tick);
+        for agent in 0..AGENTS {
+            for entry in 0..ENTRIES {
+                if node == Node::Entry(entry) || node == Node::Agent(agent) {
+                    let generation = self.links[agent][entry].generation;
+                    self.after(5, Event::Heal(agent, entry, generation));
+                }
+            }
+        }
+    }
+
+    /// Cuts a link for a time; 0 resets it.
+    pub(super) fn cut(&mut self, agent: usize, entry: usize, length: Millis) {
+        self.trace(&("fault cut", agent, entry, length));
+        let link = &mut self.links[agent][entry];
+        link.cut_until = link.cut_until.max(self.at + length);
+        let noticed = if length == 0 { 1 } else { SILENCE_LIMIT };
+        if link.is_open {
+            link.is_open = false;
+            let generation = link.generation;
+            self.tell(
+                Node::Entry(entry),
+                noticed,
+                Input::LinkDown(agent, generation),
+            );
+            self.tell(
+                Node::Agent(agent),
+                noticed,
+                Input::LinkDown(entry, generation),
+            );
+        }
+        let generation = self.links[agent][entry].generation;
+        let heal = noticed.max(length) + self.rng.random_range(1..250);
+        self.after(heal, Event::Heal(agent, entry, generation));
+    }
+
+    pub(super) fn heal(&mut self, agent: usize, entry: usize, generation: u64) {
+        let is_up = self.entries[entry].is_up && self.agents[agent].is_up;
+        let link = &mut self.links[agent][entry];
+        if link.is_open || link.generation != generation || !is_up {
+            return;
+        }
+        if link.cut_until > self.at {
+            let wait = link.cut_until - self.at + 10;
+            self.after(wait, Event::Heal(agent, entry, generation));
+            return;
+        }
+        link.is_open = true;
+        link.generation += 1;
+        let generation = link.generation;
+        self.tell(Node::Agent(agent), 1, Input::LinkUp(entry, generation));
+        self.tell(Node::Entry(entry), 1, Input::LinkUp(agent, generation));
+    }
+
+    /// Probes a link; the answer proves that the entry was alive when the
+    /// probe left.
+    pub(super) fn probe(&mut self, agent: usize, entry: usize) {
+        self.after(PROBE_INTERVAL, Event::Probe(agent, entry));
+        let link = self.links[agent][entry];
+        let is_answered = link.is_open
+            && self.entries[entry].is_up
+            && self.entries[entry].frozen_until <= self.at
+            && self.agents[agent].frozen_until <= self.at;
+        if is_answered {
+            let input = Input::Proven(entry, link.generation, self.at);
+            self.tell(Node::Agent(agent), 2, input);
+        }
+    }
+
+    pub(super) fn announce(&mut self, number: usize) {
+        let endpoint = &mut self.endpoints[number];
+        if !endpoint.is_up {
+            return;
+        }
+        let announcement = endpoint.announce(self.at);
+        if self.agents[number].is_up {
+            self.tell(Node::Agent(number), 1, Input::Announced(announcement));
+        }
+        self.after(ANNOUNCE_INTERVAL, Event::Announce(number));
+    }
+}
