--- a/crates/decisions/src/timing.rs
+++ b/crates/decisions/src/timing.rs
@@ -47,16 +47,16 @@
 /// orders within the lease.
 pub const POLL_WAIT: Duration = Duration::from_millis(150);
 
+/// The same while nothing runs; a start brings its own lease, and the next
+/// order must come before that one is over.
+pub const IDLE_POLL_WAIT: Duration = Duration::from_millis(400);
+
 /// How long ago the newest order to list may have been sent while something
 /// runs, until one that does not wait follows: the other one, or its answer, may
 /// be lost, and ends would be known only after its time-out. Under load an end
 /// comes every 10 ms.
 pub const LOOK_AFTER: Duration = Duration::from_millis(40);
 
-/// The same while nothing runs; a start brings its own lease, and the next
-/// order must come before that one is over.
-pub const IDLE_POLL_WAIT: Duration = Duration::from_millis(400);
-
 /// Shortest time between two reports of room to an entry that has no ended
 /// task to hear of; about one round trip between availability zones times ten.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(15);
