Work out what an agent waits for as it works out what it does

Cause: read over the change: two moments at which an agent wakes were computed beside what it then does, and differed. An entry whose turn it is not at a failing endpoint was waited for as if it had to hear of room, and a stop that was put off was waited for after it had been answered. The moment was past, so the loop woke at once, again and again, until something else changed. Change: one function gives the room to tell each entry, one when a stop is due; the report and the stop use them as well as wake_at. Measured: after a tick nothing may be due at once. For the first, asserted in the test of a failing endpoint and after each tick in the seeded site: both failed before.

--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -183,14 +183,10 @@
     }
 
     pub(super) fn report(&mut self, now: Instant) {
-        let common = self.room(now);
+        let room_of = self.room_by_position(now);
         let zone = self.zone();
-        let turn = self
-            .endpoint
-            .as_ref()
-            .and_then(|endpoint| endpoint.turn(now, self.entries.len()));
         for (position, (entry, state)) in self.entries.iter_mut().enumerate() {
-            let room = common.in_turn(turn.is_none_or(|turn| turn == position));
+            let room = room_of(position);
             let is_due = state
                 .report_at(now, &zone, room)
                 .is_some_and(|at| at <= now);
@@ -211,8 +207,16 @@
         }
     }
 
+    /// Returns what to tell each entry of the room, by its position.
+    pub(super) fn room_by_position(&self, now: Instant) -> impl Fn(usize) -> RoomToTell + use<> {
+        let room = self.room(now);
+        let endpoint = self.endpoint.as_ref();
+        let turn = endpoint.and_then(|endpoint| endpoint.turn(now, self.entries.len()));
+        move |position| room.in_turn(turn.is_none_or(|turn| turn == position))
+    }
+
     /// Returns the room that is free, how many tasks may come, and the slowness.
-    pub(super) fn room(&self, now: Instant) -> RoomToTell {
+    fn room(&self, now: Instant) -> RoomToTell {
         let Some(endpoint) = &self.endpoint else {
             return RoomToTell {
                 free: Room::default(),
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -99,12 +99,10 @@
     /// enough, or a stop or a list is to be sent again.
     #[must_use]
     pub fn wake_at(&self, now: Instant) -> Option<Instant> {
-        let room = self.room(now);
+        let room_of = self.room_by_position(now);
         let zone = self.zone();
-        let due = self
-            .entries
-            .values()
-            .filter_map(|e| e.report_at(now, &zone, room));
+        let entries = self.entries.values().enumerate();
+        let due = entries.filter_map(|(at, entry)| entry.report_at(now, &zone, room_of(at)));
         due.chain(self.runs.first_start_by())
             .chain(self.runs.first_stop_again())
             .chain(self.look_at(now))
--- a/crates/decisions/src/guard/run.rs
+++ b/crates/decisions/src/guard/run.rs
@@ -71,6 +71,11 @@
         matches!(self.phase, Phase::Stopping | Phase::StopAnswered(_))
     }
 
+    /// Returns when its stop is to be sent again, where it was put off.
+    pub(crate) fn stop_again_at(&self) -> Option<Instant> {
+        self.stop_again_at.filter(|_| self.phase == Phase::Stopping)
+    }
+
     /// Returns how long it has run.
     pub(crate) fn ran(&self, now: Instant) -> Duration {
         let started_at = self.started_at.unwrap_or(now);
--- a/crates/decisions/src/guard/runs.rs
+++ b/crates/decisions/src/guard/runs.rs
@@ -77,7 +77,7 @@
 
     /// Returns when the first of the stops that were put off is due.
     pub(crate) fn first_stop_again(&self) -> Option<Instant> {
-        let due = self.iter().filter_map(|run| run.stop_again_at);
+        let due = self.iter().filter_map(Run::stop_again_at);
         due.min()
     }
 
--- a/crates/decisions/src/guard/stops.rs
+++ b/crates/decisions/src/guard/stops.rs
@@ -74,9 +74,9 @@
 
     /// Sends stops again that were refused a while ago.
     pub(super) fn stop_again(&mut self, now: Instant) {
-        let due = self.runs.keys(|run| {
-            run.phase == Phase::Stopping && run.stop_again_at.is_some_and(|at| at <= now)
-        });
+        let due = self
+            .runs
+            .keys(|run| run.stop_again_at().is_some_and(|at| at <= now));
         for key in due {
             if let Some(run) = self.runs.get_mut(&key) {
                 run.stop_again_at = None;
--- a/crates/decisions/tests/best_effort_site/site.rs
+++ b/crates/decisions/tests/best_effort_site/site.rs
@@ -410,9 +410,15 @@
             Input::FromAgent(..) | Input::Dispatch(_) => return,
         };
         let now = self.now(self.at);
+        let is_tick = input == GuardInput::Tick;
         for action in self.agents[number].machine.handle(now, input) {
             self.agent_action(number, action);
         }
+        let wake_at = self.agents[number].machine.wake_at(now.instant);
+        assert!(
+            !is_tick || wake_at.is_none_or(|at| at > now.instant),
+            "agent {number} would spin"
+        );
     }
 }
 
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -3,9 +3,11 @@
 use {
     chestnutrun_decisions::guard::{
         Announcement, Answer, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage,
-        ListOrder, ListReply, ListedEnd, OrderFault, RunEnd,
+        ListOrder, ListReply, ListedEnd, OrderFault, RunEnd, StartOrder,
+    },
+    chestnutrun_types::{
+        AssignedTask, Assignment, EndpointInfo, EntryId, Now, Revocation, Room, StepTask,
     },
-    chestnutrun_types::{AssignedTask, Assignment, EndpointInfo, EntryId, Now, Room, StepTask},
     rstest::rstest,
     std::time::{Duration, Instant, SystemTime},
 };
@@ -306,6 +308,11 @@
             let poll = endpoint.answer_poll();
             actions.extend(poll.map_or_else(Vec::new, |input| guard.handle(now(millis), input)));
             actions.extend(guard.handle(now(millis), GuardInput::Tick));
+            let wake_at = guard.wake_at(now(millis).instant);
+            assert!(
+                wake_at.is_none_or(|at| at > now(millis).instant),
+                "it would spin"
+            );
         }
         while let Some(action) = actions.pop() {
             let input = endpoint.take(action);
@@ -432,3 +439,57 @@
     guard.handle(now(15), GuardInput::Listed(2, order, empty()));
     assert_eq!(guard.tasks(), 0, "a later list does not show it");
 }
+
+/// A guard with a clean endpoint and one entry that was alive at `begin`.
+fn usable_guard(begin: Instant) -> GuardMachine {
+    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let now = later(begin, 0);
+    let order = lists(guard.handle(now, GuardInput::Announced(announcement()))).remove(0);
+    let clean = Answer::Done(Duration::from_secs(1), ListReply::default());
+    guard.handle(now, GuardInput::Listed(1, order, clean));
+    guard.handle(now, GuardInput::LinkUp("entry".into(), 1, "zone".into()));
+    guard.handle(now, GuardInput::Proven("entry".into(), begin));
+    guard
+}
+
+fn later(begin: Instant, millis: u64) -> Now {
+    Now {
+        instant: begin + Duration::from_millis(millis),
+        wall: SystemTime::UNIX_EPOCH,
+    }
+}
+
+/// Assigns a task and returns the order that starts it.
+fn assign_one(guard: &mut GuardMachine, now: Now) -> StartOrder {
+    let assigned = GuardInput::Assign("entry".into(), assignment(1, "00000000000000a1"));
+    let actions = guard.handle(now, assigned);
+    let start = actions.into_iter().find_map(|action| match action {
+        GuardAction::Start(order) => Some(order),
+        _ => None,
+    });
+    start.expect("the task starts")
+}
+
+#[rstest]
+fn a_stop_that_was_put_off_and_then_answered_wakes_nobody() {
+    let begin = Instant::now();
+    let clock = Duration::from_secs(1);
+    let mut guard = usable_guard(begin);
+    let run = assign_one(&mut guard, later(begin, 0)).run;
+    let started = GuardInput::Started(1, run, Answer::Done(clock, ()));
+    guard.handle(later(begin, 1), started);
+    let assignments = vec![1];
+    let revoked = GuardInput::Revoke("entry".into(), Revocation { assignments });
+    guard.handle(later(begin, 2), revoked);
+    let refused = Answer::Refused(None, OrderFault::Unwell);
+    guard.handle(later(begin, 3), GuardInput::Stopped(1, run, refused));
+    let mut again = announcement();
+    again.info.incarnation = 2;
+    guard.handle(later(begin, 10), GuardInput::Announced(again));
+    let stopped = GuardInput::Stopped(2, run, Answer::Done(clock, ()));
+    guard.handle(later(begin, 12), stopped);
+    let now = later(begin, 200);
+    guard.handle(now, GuardInput::Tick);
+    let wake_at = guard.wake_at(now.instant);
+    assert!(wake_at.is_none_or(|at| at > now.instant), "it would spin");
+}
