Keep one copy of what was written twice

Cause: read over the change: whether a job may have run stood three times, each with a list of agents made only to see whether it is empty, at every tick for every job; a job that comes again cancelled its first attempt beside 'cancel'; the names of how a run ends stood in the metrics and in the story, a count as metrics hold it in three files. Change: HeldJob::may_have_run, a call of cancel, EndKind::name, as_u64 of chestnutrun-observe. No output changes.

--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -84,9 +84,7 @@
             .jobs
             .values()
             .filter(|job| job.route.service == *service);
-        of_service
-            .filter(|job| !job.has_run && job.holders().is_empty())
-            .count()
+        of_service.filter(|job| !job.may_have_run()).count()
     }
 
     /// Returns how many endpoints can be used.
@@ -112,10 +110,8 @@
         let objective = Objective::of(now, submission.deadline, &route, job, expect);
         // A job that comes again at the same entry replaces its first attempt.
         let id = job.id.clone();
-        let older = self.jobs.iter().find(|(_, held)| held.job.id == id);
-        if let Some(older) = older.map(|(caller, _)| *caller) {
-            self.end(now, older, JobOutcome::Cancelled);
-        }
+        self.cancel(now, &id);
+
         let caller = submission.caller;
         let held = HeldJob::new(now, submission, objective);
         self.note(DecisionNote::JobTaken {
@@ -184,7 +180,7 @@
     pub(super) fn refuse_hopeless(&mut self, now: Instant) {
         let mut hopeless = Vec::new();
         for (caller, job) in &self.jobs {
-            if job.has_run || !job.holders().is_empty() {
+            if job.may_have_run() {
                 continue;
             }
             if job.objective.last_start() < now {
@@ -214,7 +210,7 @@
         let Some(job) = self.jobs.get(&caller) else {
             return;
         };
-        let outcome = if job.has_run || !job.holders().is_empty() {
+        let outcome = if job.may_have_run() {
             JobOutcome::Expired
         } else {
             JobOutcome::Refused(reason, LEAST_RETRY_AFTER)
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -112,6 +112,11 @@
         ready.cloned().collect()
     }
 
+    /// Whether a task may have run, or an agent may have one.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.has_run || self.tasks.iter().any(|task| task.holder().is_some())
+    }
+
     /// Returns what agents may have of the job, one entry an assignment.
     pub(crate) fn holders(&self) -> Vec<(AgentId, AssignmentId)> {
         let mut holders: Vec<(AgentId, AssignmentId)> = Vec::new();
--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -12,6 +12,7 @@
         Announcement, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage,
     },
     chestnutrun_net::{Link, LinkEvent, LinkId, LinkIds},
+    chestnutrun_observe::as_u64,
     chestnutrun_protocol::{GuardHello, Hello, Message},
     chestnutrun_types::{AgentId, EndpointId, EntryId, Incarnation, Member, Now},
     indexmap::IndexMap,
@@ -396,10 +397,6 @@
     }
 }
 
-fn as_u64(count: usize) -> u64 {
-    u64::try_from(count).unwrap_or(u64::MAX)
-}
-
 /// Waits until a moment; for ever where there is none.
 async fn until(at: Option<Instant>) {
     match at {
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -13,6 +13,7 @@
         CallerId, DispatchAction, DispatchInput, Dispatcher, JobOutcome,
     },
     chestnutrun_net::{Link, LinkEvent, LinkId, LinkIds, LinkServerConf, PeerName, serve_links},
+    chestnutrun_observe::as_u64,
     chestnutrun_protocol::{Hello, Message},
     chestnutrun_types::{DecisionNote, Member, MemberList, Now, RoutingTable, ZoneId},
     indexmap::IndexMap,
@@ -445,7 +446,3 @@
         }
     }
 }
-
-fn as_u64(count: usize) -> u64 {
-    u64::try_from(count).unwrap_or(u64::MAX)
-}
--- a/crates/observe/src/dispatch_metrics.rs
+++ b/crates/observe/src/dispatch_metrics.rs
@@ -5,7 +5,7 @@
         MetricsError,
         exporter::{Exporter, seconds},
     },
-    chestnutrun_types::{DecisionNote, EndKind, RouteId},
+    chestnutrun_types::{DecisionNote, RouteId},
     indexmap::{IndexMap, IndexSet},
     opentelemetry::{
         KeyValue,
@@ -95,7 +95,7 @@
                 }
             }
             DecisionNote::TaskEnded { how, ran_ms, .. } => {
-                let how = KeyValue::new("how", end_name(*how));
+                let how = KeyValue::new("how", how.name());
                 self.runs.add(1, std::slice::from_ref(&how));
                 self.run_times.record(as_seconds(*ran_ms), &[how]);
             }
@@ -163,13 +163,3 @@
 fn as_seconds(millis: u64) -> f64 {
     millis as f64 / 1_000.0
 }
-
-fn end_name(how: EndKind) -> &'static str {
-    match how {
-        EndKind::Done => "done",
-        EndKind::Failed => "failed",
-        EndKind::NotStarted => "not-started",
-        EndKind::Stopped => "stopped",
-        EndKind::Stalled => "stalled",
-    }
-}
--- a/crates/observe/src/exporter.rs
+++ b/crates/observe/src/exporter.rs
@@ -69,3 +69,9 @@
         .with_boundaries(BUCKET_BOUNDS.to_vec())
         .build()
 }
+
+/// Returns a count as metrics hold it.
+#[must_use]
+pub fn as_u64(count: usize) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -15,6 +15,7 @@
     decision_log::{DecisionLog, LogLine},
     dispatch_metrics::DispatchMetrics,
     event::{Event, EventKind, ProcessId, Sequence},
+    exporter::as_u64,
     logs::start_logs,
     metrics::{Metrics, MetricsError},
     stopwatch::Stopwatch,
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Stopwatch,
-        exporter::{Exporter, seconds},
+        exporter::{Exporter, as_u64, seconds},
     },
     chestnutrun_types::{ContractId, Epoch, ShardId},
     opentelemetry::{
@@ -220,7 +220,3 @@
         self.exporter.close();
     }
 }
-
-fn as_u64(count: usize) -> u64 {
-    u64::try_from(count).unwrap_or(u64::MAX)
-}
--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -177,7 +177,7 @@
         for line in &self.lines {
             let what = match &line.note {
                 DecisionNote::TaskReturned { agent, how, .. } => {
-                    format!("{} at {agent}", name(*how))
+                    format!("{} at {agent}", how.name().replace('-', " "))
                 }
                 DecisionNote::StartRefused { reason, .. } => {
                     format!("start {reason} at {}", line.process)
@@ -240,13 +240,3 @@
     }
     counts
 }
-
-fn name(how: EndKind) -> &'static str {
-    match how {
-        EndKind::Done => "done",
-        EndKind::Failed => "failed",
-        EndKind::NotStarted => "not started",
-        EndKind::Stopped => "stopped",
-        EndKind::Stalled => "stalled",
-    }
-}
--- a/crates/types/src/endpoint_report.rs
+++ b/crates/types/src/endpoint_report.rs
@@ -41,6 +41,20 @@
     Stalled,
 }
 
+impl EndKind {
+    /// Returns the name of the kind, as it is written down and counted.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::NotStarted => "not-started",
+            Self::Stopped => "stopped",
+            Self::Stalled => "stalled",
+        }
+    }
+}
+
 /// Tells how one assigned task ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TaskEnd {
