--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -63,14 +63,41 @@
     }
 }
 
+/// A guard with a clean endpoint and one entry that was alive at `begin`.
+fn usable_guard(begin: Instant) -> GuardMachine {
+    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let now = later(begin, 0);
+    let order = lists(guard.handle(now, GuardInput::Announced(announcement()))).remove(0);
+    let clean = Answer::Done(Duration::from_secs(1), ListReply::default());
+    guard.handle(now, GuardInput::Listed(1, order, clean));
+    guard.handle(now, GuardInput::LinkUp("entry".into(), 1, "zone".into()));
+    guard.handle(now, GuardInput::Proven("entry".into(), begin));
+    guard
+}
+
+fn later(begin: Instant, millis: u64) -> Now {
+    Now {
+        instant: begin + Duration::from_millis(millis),
+        wall: SystemTime::UNIX_EPOCH,
+    }
+}
+
+/// Assigns a task and returns the order that starts it.
+fn assign_one(guard: &mut GuardMachine, now: Now) -> StartOrder {
+    let assigned = GuardInput::Assign("entry".into(), assignment(1, "00000000000000a1"));
+    let actions = guard.handle(now, assigned);
+    let start = actions.into_iter().find_map(|action| match action {
+        GuardAction::Start(order) => Some(order),
+        _ => None,
+    });
+    start.expect("the task starts")
+}
+
 #[rstest]
 fn a_new_run_of_an_entry_hears_of_no_task_of_the_earlier_one() {
     let begin = Instant::now();
     let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
-    let now = Now {
-        instant: begin,
-        wall: SystemTime::UNIX_EPOCH,
-    };
+    let now = later(begin, 0);
     let entry: EntryId = "entry".into();
     let order = lists(guard.handle(now, GuardInput::Announced(announcement()))).remove(0);
     let clock = Duration::from_secs(1);
@@ -129,10 +156,7 @@
 fn an_endpoint_that_refuses_connections_is_not_asked_without_a_pause() {
     let begin = Instant::now();
     let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
-    let now = |millis| Now {
-        instant: begin + Duration::from_millis(millis),
-        wall: SystemTime::UNIX_EPOCH,
-    };
+    let now = |millis| later(begin, millis);
     let mut orders = lists(guard.handle(now(0), GuardInput::Announced(announcement())));
     let mut asked = orders.len();
     for millis in (0..1_000).step_by(10) {
@@ -193,10 +217,7 @@
 #[case::broken(AtOnce::Broken, MOST_BROKEN)]
 fn an_endpoint_that_fails_at_once_gets_few_orders(#[case] fault: AtOnce, #[case] most: usize) {
     let begin = Instant::now();
-    let now = |millis| Now {
-        instant: begin + Duration::from_millis(millis),
-        wall: SystemTime::UNIX_EPOCH,
-    };
+    let now = |millis| later(begin, millis);
     let entry: EntryId = "entry".into();
     let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
     let order = lists(guard.handle(now(0), GuardInput::Announced(announcement()))).remove(0);
@@ -280,10 +301,7 @@
 #[rstest]
 fn an_endpoint_that_fails_everything_is_tried_seldom_and_by_one_entry() {
     let begin = Instant::now();
-    let now = |millis| Now {
-        instant: begin + Duration::from_millis(millis),
-        wall: SystemTime::UNIX_EPOCH,
-    };
+    let now = |millis| later(begin, millis);
     let entries: Vec<EntryId> = vec!["0".into(), "1".into(), "2".into()];
     let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
     let mut endpoint = FailingEndpoint::default();
@@ -333,27 +351,10 @@
 #[rstest]
 fn a_lost_list_delays_no_end() {
     let begin = Instant::now();
-    let now = |millis| Now {
-        instant: begin + Duration::from_millis(millis),
-        wall: SystemTime::UNIX_EPOCH,
-    };
+    let now = |millis| later(begin, millis);
     let clock = Duration::from_secs(1);
-    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
-    let order = lists(guard.handle(now(0), GuardInput::Announced(announcement()))).remove(0);
-    let empty = Answer::Done(clock, ListReply::default());
-    guard.handle(now(0), GuardInput::Listed(1, order, empty));
-    guard.handle(now(0), GuardInput::LinkUp("entry".into(), 1, "zone".into()));
-    guard.handle(now(0), GuardInput::Proven("entry".into(), begin));
-    let job = "00000000000000a1";
-    let actions = guard.handle(
-        now(0),
-        GuardInput::Assign("entry".into(), assignment(1, job)),
-    );
-    let start = actions.into_iter().find_map(|action| match action {
-        GuardAction::Start(order) => Some(order),
-        _ => None,
-    });
-    let start = start.expect("the task starts");
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, now(0));
     let started = GuardInput::Started(1, start.run, Answer::Done(clock, ()));
     guard.handle(now(1), started);
     let ended = ListedEnd {
@@ -388,27 +389,11 @@
 #[rstest]
 fn what_was_started_before_an_endpoint_came_back_is_stopped_there_first() {
     let begin = Instant::now();
-    let now = |millis| Now {
-        instant: begin + Duration::from_millis(millis),
-        wall: SystemTime::UNIX_EPOCH,
-    };
+    let now = |millis| later(begin, millis);
     let clock = Duration::from_secs(1);
-    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
-    let order = lists(guard.handle(now(0), GuardInput::Announced(announcement()))).remove(0);
     let empty = || Answer::Done(clock, ListReply::default());
-    guard.handle(now(0), GuardInput::Listed(1, order, empty()));
-    guard.handle(now(0), GuardInput::LinkUp("entry".into(), 1, "zone".into()));
-    guard.handle(now(0), GuardInput::Proven("entry".into(), begin));
-    let job = "00000000000000a1";
-    let actions = guard.handle(
-        now(0),
-        GuardInput::Assign("entry".into(), assignment(1, job)),
-    );
-    let start = actions.iter().find_map(|action| match action {
-        GuardAction::Start(order) => Some(order.clone()),
-        _ => None,
-    });
-    let start = start.expect("the task starts");
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, now(0));
     let started = GuardInput::Started(1, start.run, Answer::Done(clock, ()));
     guard.handle(now(1), started);
     // The endpoint had started again before the order reached it.
@@ -440,36 +425,6 @@
     assert_eq!(guard.tasks(), 0, "a later list does not show it");
 }
 
-/// A guard with a clean endpoint and one entry that was alive at `begin`.
-fn usable_guard(begin: Instant) -> GuardMachine {
-    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
-    let now = later(begin, 0);
-    let order = lists(guard.handle(now, GuardInput::Announced(announcement()))).remove(0);
-    let clean = Answer::Done(Duration::from_secs(1), ListReply::default());
-    guard.handle(now, GuardInput::Listed(1, order, clean));
-    guard.handle(now, GuardInput::LinkUp("entry".into(), 1, "zone".into()));
-    guard.handle(now, GuardInput::Proven("entry".into(), begin));
-    guard
-}
-
-fn later(begin: Instant, millis: u64) -> Now {
-    Now {
-        instant: begin + Duration::from_millis(millis),
-        wall: SystemTime::UNIX_EPOCH,
-    }
-}
-
-/// Assigns a task and returns the order that starts it.
-fn assign_one(guard: &mut GuardMachine, now: Now) -> StartOrder {
-    let assigned = GuardInput::Assign("entry".into(), assignment(1, "00000000000000a1"));
-    let actions = guard.handle(now, assigned);
-    let start = actions.into_iter().find_map(|action| match action {
-        GuardAction::Start(order) => Some(order),
-        _ => None,
-    });
-    start.expect("the task starts")
-}
-
 #[rstest]
 fn a_stop_that_was_put_off_and_then_answered_wakes_nobody() {
     let begin = Instant::now();
