Log what the directory answers, and requests without a route

Cause: the logs named the version that came into force, but not the call that brought it, the revision that the store named or that of the row; a request answered with 404 left no line at all. Change: the events directory-answer and route-not-found.

--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -248,6 +248,7 @@
                 self.dialers.dial_members(Now::read().instant, &members);
             }
             DirectoryNews::Reachable(is_there) => self.recorder.dependency("directory", is_there),
+            DirectoryNews::Note(note) => self.recorder.note(Now::read(), note),
             // Agents have the routing table from entries.
             DirectoryNews::Routing(_) => {}
         }
--- a/crates/dispatch/src/caller_desk.rs
+++ b/crates/dispatch/src/caller_desk.rs
@@ -8,6 +8,10 @@
     tokio::sync::{mpsc::Sender, oneshot},
 };
 
+/// Most characters of a request's host and path that are logged; hosts and
+/// prefixes of routes are shorter.
+const MAX_LOGGED_CHARACTERS: usize = 128;
+
 /// What callers ask of the loop.
 #[derive(Debug)]
 pub enum CallerEvent {
@@ -17,6 +21,8 @@
     Gone(CallerId),
     /// Cancel a job; tells whether it was held here.
     Cancel(JobId, oneshot::Sender<bool>),
+    /// No route has the host and path of a request.
+    RouteNotFound(String, String),
     /// How many jobs of a service wait.
     Waiting(ServiceId, oneshot::Sender<usize>),
     /// Whether the entry can take jobs.
@@ -123,6 +129,20 @@
         answer.unwrap_or(false)
     }
 
+    /// Returns the route of a request and the rest of its path; a request
+    /// without one is logged.
+    #[must_use]
+    pub fn find_route<'a>(&self, host: &str, path: &'a str) -> Option<(Arc<Route>, &'a str)> {
+        let found = self.routing.find(host, path);
+        if found.is_none() {
+            let event = CallerEvent::RouteNotFound(shorten(host), shorten(path));
+            if self.tx.try_send(event).is_err() {
+                log::debug!("the loop was not told of a request without a route");
+            }
+        }
+        found
+    }
+
     /// Returns how many jobs of a service wait.
     pub async fn waiting(&self, service: ServiceId) -> Option<usize> {
         self.ask(|tx| CallerEvent::Waiting(service, tx)).await
@@ -144,3 +164,7 @@
         answer.await.ok()
     }
 }
+
+fn shorten(text: &str) -> String {
+    text.chars().take(MAX_LOGGED_CHARACTERS).collect()
+}
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -1,7 +1,7 @@
 //! The border between the loops and where the site's state is kept.
 
 use {
-    chestnutrun_types::{Member, RoutingTable},
+    chestnutrun_types::{DecisionNote, Member, RoutingTable},
     std::{fmt, future::Future, pin::Pin},
     tokio::sync::mpsc::Sender,
 };
@@ -18,6 +18,8 @@
     Members(Vec<Member>),
     /// Whether the directory answers.
     Reachable(bool),
+    /// What the directory answered, to be logged.
+    Note(DecisionNote),
 }
 
 /// How many calls of one kind ended in one way.
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -258,6 +258,15 @@
                 self.input(DispatchInput::Cancel(job));
                 let _ = reply.send(self.dispatcher.jobs() < held);
             }
+            CallerEvent::RouteNotFound(host, path) => {
+                let routing_version = self.routing.version();
+                let note = DecisionNote::RouteNotFound {
+                    host,
+                    path,
+                    routing_version,
+                };
+                self.recorder.note(Now::read(), note);
+            }
             CallerEvent::Waiting(service, reply) => {
                 let _ = reply.send(self.dispatcher.waiting(&service));
             }
@@ -290,6 +299,7 @@
                 self.dialers.dial_members(Now::read().instant, &members);
             }
             DirectoryNews::Reachable(is_there) => self.recorder.dependency("directory", is_there),
+            DirectoryNews::Note(note) => self.recorder.note(Now::read(), note),
         }
     }
 
--- a/crates/observe/tests/logs_page.rs
+++ b/crates/observe/tests/logs_page.rs
@@ -62,6 +62,11 @@
             job: "j".into(),
             took_ms: 1,
         },
+        DecisionNote::RouteNotFound {
+            host: "h".into(),
+            path: "/p/".into(),
+            routing_version: 2,
+        },
         DecisionNote::AgentLinked {
             agent: "a".into(),
             incarnation: 1,
@@ -133,6 +138,14 @@
             replaced: 1,
             source: "peer".into(),
         },
+        DecisionNote::DirectoryAnswer {
+            call: "read".into(),
+            outcome: "done".into(),
+            after: None,
+            directory_revision: Some(7),
+            row_revision: Some(5),
+            routing_version: Some(2),
+        },
         DecisionNote::Dependency {
             name: "directory".into(),
             is_there: false,
--- a/crates/types/src/decision_note.rs
+++ b/crates/types/src/decision_note.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        AgentId, AssignmentId, EndKind, EndpointId, EntryId, Incarnation, JobId, RouteId,
+        AgentId, AssignmentId, EndKind, EndpointId, EntryId, Incarnation, JobId, Revision, RouteId,
         RoutingVersion, RunNumber, ServiceId, StepTask,
     },
     serde::{Deserialize, Serialize},
@@ -83,6 +83,15 @@
         /// Tasks that came back undone.
         returned: u32,
     },
+    /// An entry has no route for a request.
+    RouteNotFound {
+        /// Host that the request names.
+        host: String,
+        /// Its path.
+        path: String,
+        /// Version of the routing table in force.
+        routing_version: RoutingVersion,
+    },
     /// An entry dropped a job whose caller went away.
     CallerGone {
         /// The job.
@@ -202,6 +211,21 @@
         /// Who brought it.
         source: Cow<'static, str>,
     },
+    /// The directory answered a read, or a feed that moved on or lost its place.
+    DirectoryAnswer {
+        /// What was called: `read` or `feed`.
+        call: Cow<'static, str>,
+        /// How it ended: `done` or `history-gone`.
+        outcome: Cow<'static, str>,
+        /// Revision after which a feed was to go on.
+        after: Option<Revision>,
+        /// Revision that the directory names as its newest.
+        directory_revision: Option<Revision>,
+        /// Revision at which the routing table was written, where it came.
+        row_revision: Option<Revision>,
+        /// Version of the routing table, where it came and can be read.
+        routing_version: Option<RoutingVersion>,
+    },
     /// Something that the process depends on was lost or is back.
     Dependency {
         /// What.
@@ -249,6 +273,7 @@
             Self::TasksPlaced { .. } => "tasks-placed",
             Self::TaskReturned { .. } => "task-returned",
             Self::JobAnswered { .. } => "job-answered",
+            Self::RouteNotFound { .. } => "route-not-found",
             Self::CallerGone { .. } => "caller-gone",
             Self::AgentLinked { .. } => "agent-linked",
             Self::AgentLost { .. } => "agent-lost",
@@ -260,6 +285,7 @@
             Self::EndpointNews { .. } => "endpoint-news",
             Self::EntryLost { .. } => "entry-lost",
             Self::RoutingInForce { .. } => "routing-in-force",
+            Self::DirectoryAnswer { .. } => "directory-answer",
             Self::Dependency { .. } => "dependency",
             Self::Process { .. } => "process",
             Self::LinesLeftOut { .. } => "lines-left-out",
