Have agents read the routing table for entries that the store turns away

What callers saw: 404 for an added route for as long as the store turned every entry away, though it served other machines: a confirmed change that is late. Cause: only entries read the table; agents kept it but had no way of their own. With one entry served the others had it from that one within 0.4 s. Change: an entry without the directory asks one linked agent after the other, every 500 ms, to read the table; the agent tells its version to all entries. Evidence: change_is_unknown_while_the_store_turns_every_entry_away was red (no route after 2.0 s) and is green. Costs nothing while the store answers.

--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -14,7 +14,7 @@
     chestnutrun_net::{Link, LinkEvent, LinkId, LinkIds},
     chestnutrun_observe::as_u64,
     chestnutrun_protocol::{GuardHello, Hello, Message},
-    chestnutrun_types::{AgentId, EndpointId, EntryId, Incarnation, Member, Now},
+    chestnutrun_types::{AgentId, EndpointId, EntryId, Incarnation, Member, Now, RoutingTable},
     indexmap::IndexMap,
     std::{
         net::SocketAddr,
@@ -249,8 +249,7 @@
             }
             DirectoryNews::Reachable(is_there) => self.recorder.dependency("directory", is_there),
             DirectoryNews::Note(note) => self.recorder.note(Now::read(), note),
-            // Agents have the routing table from entries.
-            DirectoryNews::Routing(_) => {}
+            DirectoryNews::Routing(table) => self.take_routing(table, "directory"),
         }
     }
 
@@ -317,14 +316,8 @@
                     self.send(id, Message::Routing((*table).clone()));
                 }
             }
-            Message::Routing(table) => {
-                if self.routing.take(table) {
-                    let version = Message::RoutingVersion(self.routing.version());
-                    for id in self.links.keys() {
-                        self.send(*id, version.clone());
-                    }
-                }
-            }
+            Message::Routing(table) => self.take_routing(table, "peer"),
+            Message::DirectoryRequest => self.directory.read_routing(self.news_tx.clone()),
             Message::Assign(assignment) => {
                 if let Some(entry) = self.entry(id) {
                     self.input(GuardInput::Assign(entry, assignment));
@@ -339,6 +332,19 @@
         }
     }
 
+    /// Keeps a newer routing table for entries that ask.
+    fn take_routing(&mut self, table: RoutingTable, source: &'static str) {
+        let replaced = self.routing.version();
+        if !self.routing.take(table) {
+            return;
+        }
+        let version = self.routing.version();
+        self.recorder.routing_in_force(version, replaced, source);
+        for id in self.links.keys() {
+            self.send(*id, Message::RoutingVersion(version));
+        }
+    }
+
     fn input(&mut self, input: GuardInput) {
         for action in self.guard.handle(Now::read(), input) {
             self.act(action);
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -41,6 +41,9 @@
     /// Follows the routing table until the process ends.
     fn follow_routing(&self, news: Sender<DirectoryNews>);
 
+    /// Reads the routing table once.
+    fn read_routing(&self, news: Sender<DirectoryNews>);
+
     /// Reads the recorded entries once.
     fn read_members(&self, news: Sender<DirectoryNews>);
 
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         CallerDesk, CallerEvent, Directory, DirectoryNews, DispatchError, SharedRouting,
+        directory_detour::DirectoryDetour,
         entry_dialers::{ACCEPTED, EntryDialers, SITE_TOKEN},
         entry_peers::{EntryPeers, Peer},
         recorder::Recorder,
@@ -95,6 +96,7 @@
     directory: Box<dyn Directory>,
     routing: SharedRouting,
     news: RoutingNews,
+    detour: DirectoryDetour,
     desk: CallerDesk,
     callers: IndexMap<CallerId, oneshot::Sender<JobOutcome>>,
     stop_accepting: Option<oneshot::Sender<()>>,
@@ -142,6 +144,7 @@
             directory: conf.directory,
             routing: conf.routing,
             news: RoutingNews::default(),
+            detour: DirectoryDetour::default(),
             desk,
             callers: IndexMap::new(),
             stop_accepting: Some(conf.stop_accepting),
@@ -228,6 +231,9 @@
         if let Some(peer) = self.news.due(now.instant, self.routing.version()) {
             self.peers.send(peer, Message::RoutingRequest);
         }
+        if let Some(agent) = self.detour.due(now.instant, self.peers.agents()) {
+            self.peers.send_agent(&agent, Message::DirectoryRequest);
+        }
         let accept_until = self.leaving.as_ref().map(|leaving| leaving.accept_until);
         if accept_until.is_some_and(|until| until <= now.instant)
             && let Some(stop) = self.stop_accepting.take()
@@ -298,7 +304,10 @@
             DirectoryNews::Members(members) => {
                 self.dialers.dial_members(Now::read().instant, &members);
             }
-            DirectoryNews::Reachable(is_there) => self.recorder.dependency("directory", is_there),
+            DirectoryNews::Reachable(is_there) => {
+                self.detour.note_directory(Now::read().instant, is_there);
+                self.recorder.dependency("directory", is_there);
+            }
             DirectoryNews::Note(note) => self.recorder.note(Now::read(), note),
         }
     }
@@ -306,13 +315,7 @@
     fn take_routing(&mut self, table: RoutingTable, source: &'static str) {
         let (version, replaced) = (table.version, self.routing.version());
         if self.routing.take(table) {
-            let source = source.into();
-            let note = DecisionNote::RoutingInForce {
-                version,
-                replaced,
-                source,
-            };
-            self.recorder.note(Now::read(), note);
+            self.recorder.routing_in_force(version, replaced, source);
             self.peers.send_all(&Message::RoutingVersion(version));
         }
     }
--- a/crates/dispatch/src/entry_peers.rs
+++ b/crates/dispatch/src/entry_peers.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Returns the agents that are linked.
+    pub(crate) fn agents(&self) -> impl ExactSizeIterator<Item = AgentId> {
+        self.agents.keys().cloned()
+    }
+
     /// Returns how many agents are linked.
     pub(crate) fn agent_links(&self) -> usize {
         self.agents.len()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod agent_loop;
 mod caller_desk;
 mod directory;
+mod directory_detour;
 mod endpoint_orders;
 mod entry_dialers;
 mod entry_loop;
--- a/crates/dispatch/src/recorder.rs
+++ b/crates/dispatch/src/recorder.rs
@@ -3,7 +3,7 @@
 use {
     crate::CallCount,
     chestnutrun_observe::{DecisionLog, DispatchMetrics},
-    chestnutrun_types::{DecisionNote, Now},
+    chestnutrun_types::{DecisionNote, Now, RoutingVersion},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -48,6 +48,22 @@
         self.note(Now::read(), DecisionNote::Process { news, held });
     }
 
+    /// Notes that a routing table came into force.
+    pub(crate) fn routing_in_force(
+        &mut self,
+        version: RoutingVersion,
+        replaced: RoutingVersion,
+        source: &'static str,
+    ) {
+        let source = source.into();
+        let note = DecisionNote::RoutingInForce {
+            version,
+            replaced,
+            source,
+        };
+        self.note(Now::read(), note);
+    }
+
     /// Notes that something was lost or is back.
     pub(crate) fn dependency(&mut self, name: &'static str, is_there: bool) {
         let name = name.into();
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -98,6 +98,9 @@
     RoutingRequest,
     /// To any peer: the routing table.
     Routing(RoutingTable),
+    /// Entry to agent: read the routing table from the directory, which does not
+    /// answer the sender.
+    DirectoryRequest,
 }
 
 impl Message {
@@ -134,6 +137,7 @@
             Self::Revoke(_) => "revoke",
             Self::RoutingVersion(_) => "routing-version",
             Self::RoutingRequest => "routing-request",
+            Self::DirectoryRequest => "directory-request",
             Self::Routing(_) => "routing",
         }
     }
