Shut late orders out as soon as another incarnation answers

What callers saw: a task twice at a time, where an executor came back under its id and carried out a start that had been given up seconds before (TWICE). Cause: the new incarnation knows no token. The agent raised its own only when the new incarnation announced itself, though lists that it sent were refused for the other time of birth before. Change: the first such refusal raises the token and is followed by a list at once, which makes the new incarnation refuse what is still under way; until the announcement nothing starts there. Evidence: late_order_reaches_an_incarnation_that_has_not_announced_itself was red and is green.

--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -36,6 +36,8 @@
     pub(crate) sequence: u64,
     pub(crate) health: EndpointHealth,
     pub(crate) is_leaving: bool,
+    /// Whether a later incarnation answers, which has not announced itself.
+    pub(crate) is_superseded: bool,
     /// Whether runs that this agent did not start are gone.
     pub(crate) is_clean: bool,
     /// Newest end that was noted.
@@ -62,6 +64,7 @@
             sequence: announcement.sequence,
             health: EndpointHealth::default(),
             is_leaving: announcement.leaving,
+            is_superseded: false,
             is_clean: false,
             seen: 0,
             heard_at: now,
@@ -106,6 +109,6 @@
 
     /// Whether tasks may start.
     pub(crate) fn takes_work(&self, now: Instant) -> bool {
-        self.is_clean && !self.is_leaving && self.is_heard(now)
+        self.is_clean && !self.is_leaving && !self.is_superseded && self.is_heard(now)
     }
 }
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -37,12 +37,29 @@
                 self.note_list(now, order.sent_at, &reply);
             }
             Answer::Refused(_, OrderFault::StaleToken) => self.token += NUMBER_STEP,
+            Answer::Refused(_, OrderFault::OtherIncarnation) if !endpoint.is_superseded => {
+                self.shut_out_late_orders(now);
+            }
             Answer::Refused(..) => endpoint.poll_after = Some(now + REFUSED_PAUSE),
             // After a time-out that moment is over already.
             Answer::Unknown => endpoint.poll_after = Some(order.sent_at + BROKEN_PAUSE),
         }
     }
 
+    /// Has a later incarnation that has not announced itself refuse orders that
+    /// were sent to the earlier one and are still under way.
+    fn shut_out_late_orders(&mut self, now: Instant) {
+        let Some(endpoint) = &mut self.endpoint else {
+            return;
+        };
+        endpoint.is_superseded = true;
+        endpoint.poll_after = Some(now + REFUSED_PAUSE);
+        self.token += NUMBER_STEP;
+        self.return_waiting(now);
+        self.mark_stale();
+        self.list(now, Duration::ZERO);
+    }
+
     pub(super) fn note_list(&mut self, now: Instant, asked_at: Instant, reply: &ListReply) {
         for end in &reply.ended {
             self.note_end(now, end);
--- a/crates/decisions/tests/best_effort_orders.rs
+++ b/crates/decisions/tests/best_effort_orders.rs
@@ -10,9 +10,10 @@
 const SEEDS: u64 = 200;
 
 /// Seeds that failed once: an assignment on a link that the agent had not
-/// accounted for yet (2571), and ends of an entry's earlier run, which counted
-/// its assignments anew (30503).
-const REGRESSIONS: [u64; 2] = [2_571, 30_503];
+/// accounted for yet (2571), ends of an entry's earlier run, which counted its
+/// assignments anew (30503), and a late start at an incarnation that had not
+/// announced itself (1000122).
+const REGRESSIONS: [u64; 3] = [2_571, 30_503, 1_000_122];
 
 /// How long load and faults go on, in milliseconds.
 const FAULTS: u64 = 8_000;
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -448,3 +448,30 @@
     let wake_at = guard.wake_at(now.instant);
     assert!(wake_at.is_none_or(|at| at > now.instant), "it would spin");
 }
+
+#[rstest]
+fn late_order_reaches_an_incarnation_that_has_not_announced_itself() {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 1));
+    let ticked = guard.handle(later(begin, 100), GuardInput::Tick);
+    let poll = lists(ticked).remove(0);
+    let other = Answer::Refused(None, OrderFault::OtherIncarnation);
+    let answered = GuardInput::Listed(1, poll, other.clone());
+    let shut_out = lists(guard.handle(later(begin, 101), answered)).pop();
+    let shut_out = shut_out.expect("the endpoint is asked again");
+    assert!(shut_out.token > start.token, "later orders are told apart");
+    assert_eq!(
+        shut_out.wait,
+        Duration::ZERO,
+        "and the endpoint knows at once"
+    );
+    // One order is enough, and nothing starts where the agent knows no clock.
+    let answered = GuardInput::Listed(1, shut_out.clone(), other);
+    let actions = guard.handle(later(begin, 102), answered);
+    assert!(lists(actions).is_empty());
+    let assigned = GuardInput::Assign("entry".into(), assignment(2, "00000000000000a2"));
+    let actions = guard.handle(later(begin, 103), assigned);
+    let is_start = |action: &GuardAction| matches!(action, GuardAction::Start(_));
+    assert!(!actions.iter().any(is_start));
+}
