Answer every submission of a held job with its outcome

Cause: a second submission under the id of a held job replaced the first one. The first caller got 200 with the state cancelled, which the protocol does not list, though the job ran; its runs were stopped and started again. Another job under the same id did the same to it. Change: the same job waits for the held one, and each caller gets its outcome; another job under the id is refused with 409. Event job-submitted-again.

--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -26,6 +26,7 @@
 pub struct Dispatcher {
     pub(super) zone: ZoneId,
     pub(super) views: IndexMap<AgentId, EndpointView>,
+    /// Held jobs by the caller that submitted each of them first.
     pub(super) jobs: IndexMap<CallerId, HeldJob>,
     /// Jobs with tasks for which the last placement found no room.
     pub(super) unplaced: IndexSet<CallerId>,
@@ -106,15 +107,16 @@
     }
 
     pub(super) fn submit(&mut self, now: Instant, submission: Submission) {
+        if let Some(first) = self.find_job(&submission.job.id) {
+            self.submit_again(now, first, &submission);
+            return;
+        }
         let route = submission.route.clone();
         let ratios = &self.ratios;
         let expected_run_time = |estimate| ratios.expected_run_time(&route.id, estimate);
         let job = &submission.job;
         let objective = Objective::new(now, submission.deadline, &route, job, expected_run_time);
-        // A job that is resubmitted to the same entry replaces its first attempt.
         let id = job.id.clone();
-        self.cancel(now, &id);
-
         let caller = submission.caller;
         let held = HeldJob::new(now, submission, objective);
         self.record(DecisionEvent::JobTaken {
@@ -123,35 +125,74 @@
             tasks: held.tasks.len(),
             chain_ms: millis(held.objective.longest_chain),
             slack_ms: millis(held.start_by().saturating_duration_since(now)),
-            caller_waits_ms: millis(held.deadline.saturating_duration_since(now)),
+            caller_waits_ms: millis(held.deadline().saturating_duration_since(now)),
             held: self.jobs.len() + 1,
         });
         self.jobs.insert(caller, held);
         self.changes.jobs.insert(caller);
     }
 
+    /// Handles a submission under the id of a held job.
+    ///
+    /// A repeated submission waits for the held job: a second run of it would
+    /// overlap with the first.
+    fn submit_again(&mut self, now: Instant, first: CallerId, submission: &Submission) {
+        let Some(held) = self.jobs.get_mut(&first) else {
+            return;
+        };
+        let is_same = held.is_same(submission);
+        if is_same {
+            held.callers.insert(submission.caller, submission.deadline);
+        }
+        let event = DecisionEvent::JobSubmittedAgain {
+            job: submission.job.id.clone(),
+            is_same,
+            held_ms: millis(now.saturating_duration_since(held.arrived_at)),
+            callers: held.callers.len(),
+        };
+        self.record(event);
+        if !is_same {
+            let id = submission.job.id.clone();
+            let answer = DispatchAction::Answer(submission.caller, id, JobOutcome::IdInUse);
+            self.actions.push(answer);
+        }
+    }
+
+    fn find_job(&self, id: &JobId) -> Option<CallerId> {
+        let held = self.jobs.iter().find(|(_, held)| held.job.id == *id);
+        held.map(|(first, _)| *first)
+    }
+
     pub(super) fn answer_all_by(&mut self, by: Instant) {
         for job in self.jobs.values_mut() {
-            job.deadline = job.deadline.min(by);
+            for deadline in job.callers.values_mut() {
+                *deadline = by.min(*deadline);
+            }
             job.objective.worthless_after = job.objective.worthless_after.min(by);
         }
     }
 
     pub(super) fn caller_disconnected(&mut self, now: Instant, caller: CallerId) {
-        if let Some(job) = self.jobs.get(&caller) {
-            let event = DecisionEvent::CallerDisconnected {
-                job: job.job.id.clone(),
-                took_ms: millis(now.saturating_duration_since(job.arrived_at)),
-            };
-            self.record(event);
-            self.drop_job(caller);
+        let mut jobs = self.jobs.iter_mut();
+        let Some((first, job)) = jobs.find(|(_, job)| job.callers.contains_key(&caller)) else {
+            return;
+        };
+        let first = *first;
+        job.callers.shift_remove(&caller);
+        if !job.callers.is_empty() {
+            return;
         }
+        let event = DecisionEvent::CallerDisconnected {
+            job: job.job.id.clone(),
+            took_ms: millis(now.saturating_duration_since(job.arrived_at)),
+        };
+        self.record(event);
+        self.drop_job(first);
     }
 
     pub(super) fn cancel(&mut self, now: Instant, id: &JobId) {
-        let held = self.jobs.iter().find(|(_, held)| held.job.id == *id);
-        if let Some(caller) = held.map(|(caller, _)| *caller) {
-            self.end_job(now, caller, JobOutcome::Cancelled);
+        if let Some(first) = self.find_job(id) {
+            self.end_job(now, first, JobOutcome::Cancelled);
         }
     }
 
@@ -162,7 +203,7 @@
         let expired: Vec<CallerId> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.deadline <= now)
+            .filter(|(_, job)| job.deadline() <= now)
             .map(|(caller, _)| *caller)
             .collect();
         for caller in expired {
@@ -238,11 +279,12 @@
 
     pub(super) fn end_job(&mut self, now: Instant, caller: CallerId, outcome: JobOutcome) {
         if let Some(job) = self.jobs.get(&caller) {
-            let id = job.job.id.clone();
             let event = job.answer_event(now, outcome);
-            self.record(event);
-            self.actions
-                .push(DispatchAction::Answer(caller, id, outcome));
+            let id = &job.job.id;
+            let callers = job.callers.keys();
+            let answers = callers.map(|c| DispatchAction::Answer(*c, id.clone(), outcome));
+            self.actions.push(DispatchAction::Record(event));
+            self.actions.extend(answers);
         }
         self.drop_job(caller);
     }
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         placement::{
-            JobOutcome, Submission,
+            CallerId, JobOutcome, Submission,
             held_task::{HeldTask, TaskState},
             objective::Objective,
         },
@@ -13,6 +13,7 @@
         AgentId, AssignmentId, BestEffortJob, DecisionEvent, Route, RunNumber, StepIndex, StepSpec,
         TaskPosition,
     },
+    indexmap::IndexMap,
     std::{rc::Rc, sync::Arc, time::Instant},
 };
 
@@ -26,7 +27,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) job: Rc<BestEffortJob>,
     pub(crate) arrived_at: Instant,
-    pub(crate) deadline: Instant,
+    /// Callers that wait for the answer, each with the moment until which it waits.
+    pub(crate) callers: IndexMap<CallerId, Instant>,
     /// When the first task was assigned; none before that.
     pub(crate) placed_at: Option<Instant>,
     /// How many runs or assignments of tasks ended without completion.
@@ -50,7 +52,7 @@
             route: submission.route,
             job: submission.job,
             arrived_at: now,
-            deadline: submission.deadline,
+            callers: IndexMap::from([(submission.caller, submission.deadline)]),
             placed_at: None,
             returned: 0,
             objective,
@@ -60,6 +62,17 @@
         }
     }
 
+    /// Returns whether a submission is another attempt to submit this job.
+    pub(crate) fn is_same(&self, submission: &Submission) -> bool {
+        self.route.id == submission.route.id && self.job == submission.job
+    }
+
+    /// Returns the moment after which no caller waits.
+    pub(crate) fn deadline(&self) -> Instant {
+        let last = self.callers.values().max();
+        last.copied().unwrap_or(self.arrived_at)
+    }
+
     pub(crate) fn step(&self, step: StepIndex) -> &StepSpec {
         &self.job.steps[usize::from(step)]
     }
--- a/crates/decisions/src/placement/messages.rs
+++ b/crates/decisions/src/placement/messages.rs
@@ -53,6 +53,8 @@
     Expired,
     /// The job was cancelled.
     Cancelled,
+    /// Another job is held under the same id; this one does not run.
+    IdInUse,
 }
 
 impl JobOutcome {
@@ -67,6 +69,7 @@
             Self::Refused(RefusalReason::NeverFits, _) => "refused-never-fits",
             Self::Expired => "expired",
             Self::Cancelled => "cancelled",
+            Self::IdInUse => "id-in-use",
         }
     }
 }
@@ -74,7 +77,7 @@
 /// An input of the dispatcher.
 #[derive(Clone, Debug)]
 pub enum DispatchInput {
-    /// A caller submits a job.
+    /// A caller submits a job, which may be held already.
     Submit(Submission),
     /// A caller disconnected before its answer.
     CallerDisconnected(CallerId),
--- a/crates/decisions/tests/best_effort_site/judge.rs
+++ b/crates/decisions/tests/best_effort_site/judge.rs
@@ -42,6 +42,7 @@
             }
             JobOutcome::Expired => "expired",
             JobOutcome::Cancelled => "cancelled",
+            JobOutcome::IdInUse => panic!("{at}: {job} is no other job"),
         };
         *self.outcomes.entry(name).or_default() += 1;
     }
--- /dev/null
+++ b/crates/decisions/tests/repeated_submissions.rs
@@ -0,0 +1,224 @@
+//! Submissions of a job that the entry already holds, and requests to cancel it.
+//!
+//! A caller whose connection broke submits its job again, possibly at the entry that
+//! still holds the first submission. Each caller must get the job's own outcome.
+
+use {
+    chestnutrun_decisions::placement::{
+        CallerId, DispatchAction, DispatchInput, Dispatcher, JobOutcome, Submission,
+    },
+    chestnutrun_types::{
+        AgentUpdate, Assignment, BestEffortJob, EndKind, EndpointInfo, Now, Reserve, Resources,
+        Resync, Route, StepSpec, TaskEnd,
+    },
+    rstest::{fixture, rstest},
+    std::{
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant, SystemTime},
+    },
+};
+
+const AGENT: &str = "agent";
+const JOB: &str = "00000000000000a1";
+
+const FIRST: CallerId = 1;
+const SECOND: CallerId = 2;
+
+/// How long a caller waits for its answer, in milliseconds.
+const CALLER_WAITS: u64 = 2_000;
+
+/// A dispatcher with one linked agent.
+struct Entry {
+    begin: Instant,
+    dispatcher: Dispatcher,
+}
+
+#[fixture]
+fn entry() -> Entry {
+    let mut entry = Entry {
+        begin: Instant::now(),
+        dispatcher: Dispatcher::new("zone".into()),
+    };
+    let info = EndpointInfo {
+        endpoint: "endpoint".into(),
+        incarnation: 1,
+        service: "service".into(),
+        zone: "zone".into(),
+        labels: Vec::new(),
+        total: room(10),
+    };
+    let resync = Resync {
+        info: Some(info),
+        ..Resync::default()
+    };
+    entry.handle(0, DispatchInput::AgentUp(AGENT.into(), 1, resync));
+    entry.update(0, Vec::new());
+    entry
+}
+
+impl Entry {
+    fn handle(&mut self, at: u64, input: DispatchInput) -> Vec<DispatchAction> {
+        let after = Duration::from_millis(at);
+        let now = Now {
+            instant: self.begin + after,
+            wall: SystemTime::UNIX_EPOCH + after,
+        };
+        self.dispatcher.handle(now, input)
+    }
+
+    fn submit(&mut self, at: u64, caller: CallerId, payload: &str) -> Vec<DispatchAction> {
+        let job = BestEffortJob {
+            id: JOB.into(),
+            payload: payload.into(),
+            steps: vec![StepSpec {
+                tasks: 1,
+                need: room(1),
+                estimate: Duration::from_millis(500),
+                after: Vec::new(),
+                requires: None,
+                rack: None,
+                most_per_endpoint: None,
+            }],
+        };
+        let submission = Submission {
+            caller,
+            route: Arc::new(route()),
+            job: Rc::new(job),
+            deadline: self.begin + Duration::from_millis(at + CALLER_WAITS),
+        };
+        self.handle(at, DispatchInput::Submit(submission))
+    }
+
+    /// Reports that the task of an assignment ended.
+    fn end(&mut self, at: u64, assignment: &Assignment, kind: EndKind) -> Vec<DispatchAction> {
+        let end = TaskEnd {
+            assignment: assignment.id,
+            at: assignment.tasks[0].at,
+            kind,
+            run: 1,
+            ran: Duration::from_millis(500),
+        };
+        self.update(at, vec![end])
+    }
+
+    /// Reports free room and ended tasks.
+    fn update(&mut self, at: u64, ends: Vec<TaskEnd>) -> Vec<DispatchAction> {
+        let update = AgentUpdate {
+            reserve: Reserve::default(),
+            free: room(10),
+            most_tasks: u16::MAX,
+            slowness: 1.0,
+            last_assignment: u64::MAX,
+            ends,
+        };
+        self.handle(at, DispatchInput::Update(AGENT.into(), update))
+    }
+}
+
+fn room(tasks: u32) -> Resources {
+    Resources {
+        cpu_millis: tasks * 1_000,
+        memory_mb: tasks * 10,
+        accelerators: 0,
+    }
+}
+
+fn route() -> Route {
+    Route {
+        id: "route".into(),
+        host: "host".into(),
+        path_prefix: "/path/".into(),
+        service: "service".into(),
+        priority: 0,
+        attempts: 3,
+        stretch: 1.6,
+        target_latency: Duration::from_millis(60),
+        needs_advice: false,
+    }
+}
+
+fn answers(actions: &[DispatchAction]) -> Vec<(CallerId, JobOutcome)> {
+    let answers = actions.iter().filter_map(|action| match action {
+        DispatchAction::Answer(caller, _, outcome) => Some((*caller, *outcome)),
+        _ => None,
+    });
+    answers.collect()
+}
+
+fn assignments(actions: &[DispatchAction]) -> Vec<Assignment> {
+    let assignments = actions.iter().filter_map(|action| match action {
+        DispatchAction::Assign(_, assignment) => Some(assignment.clone()),
+        _ => None,
+    });
+    assignments.collect()
+}
+
+fn has_revocation(actions: &[DispatchAction]) -> bool {
+    let is_revocation = |action: &DispatchAction| matches!(action, DispatchAction::Revoke(..));
+    actions.iter().any(is_revocation)
+}
+
+#[rstest]
+fn first_caller_is_told_cancelled_when_its_job_is_submitted_again(mut entry: Entry) {
+    let placed = assignments(&entry.submit(0, FIRST, "payload"));
+    assert_eq!(placed.len(), 1);
+    let repeated = entry.submit(100, SECOND, "payload");
+    assert_eq!(answers(&repeated), []);
+    assert_eq!(assignments(&repeated), [], "the job started again");
+    assert!(!has_revocation(&repeated), "the job was stopped");
+    let ended = entry.end(500, &placed[0], EndKind::Done);
+    let outcomes = [
+        (FIRST, JobOutcome::Completed),
+        (SECOND, JobOutcome::Completed),
+    ];
+    assert_eq!(answers(&ended), outcomes);
+    assert_eq!(entry.dispatcher.jobs(), 0);
+}
+
+#[rstest]
+#[case::first(FIRST, SECOND)]
+#[case::second(SECOND, FIRST)]
+fn job_ends_for_both_callers_when_one_disconnects(
+    mut entry: Entry,
+    #[case] leaves: CallerId,
+    #[case] stays: CallerId,
+) {
+    let placed = assignments(&entry.submit(0, FIRST, "payload"));
+    entry.submit(100, SECOND, "payload");
+    let left = entry.handle(200, DispatchInput::CallerDisconnected(leaves));
+    assert!(!has_revocation(&left), "the job was stopped");
+    let ended = entry.end(500, &placed[0], EndKind::Done);
+    assert_eq!(answers(&ended), [(stays, JobOutcome::Completed)]);
+}
+
+#[rstest]
+fn job_runs_on_when_every_caller_disconnected(mut entry: Entry) {
+    entry.submit(0, FIRST, "payload");
+    entry.submit(100, SECOND, "payload");
+    entry.handle(200, DispatchInput::CallerDisconnected(FIRST));
+    let left = entry.handle(300, DispatchInput::CallerDisconnected(SECOND));
+    assert!(has_revocation(&left));
+    assert_eq!(entry.dispatcher.jobs(), 0);
+}
+
+#[rstest]
+fn job_expires_while_its_second_caller_waits(mut entry: Entry) {
+    entry.submit(0, FIRST, "payload");
+    entry.submit(1_000, SECOND, "payload");
+    let at_first_deadline = entry.handle(CALLER_WAITS, DispatchInput::Tick);
+    assert_eq!(answers(&at_first_deadline), []);
+    let at_last_deadline = entry.handle(1_000 + CALLER_WAITS, DispatchInput::Tick);
+    let outcomes = [(FIRST, JobOutcome::Expired), (SECOND, JobOutcome::Expired)];
+    assert_eq!(answers(&at_last_deadline), outcomes);
+}
+
+#[rstest]
+fn held_job_is_stopped_by_another_job_under_its_id(mut entry: Entry) {
+    let placed = assignments(&entry.submit(0, FIRST, "payload"));
+    let other = entry.submit(100, SECOND, "another payload");
+    assert_eq!(answers(&other), [(SECOND, JobOutcome::IdInUse)]);
+    assert!(!has_revocation(&other), "the held job was stopped");
+    let ended = entry.end(500, &placed[0], EndKind::Done);
+    assert_eq!(answers(&ended), [(FIRST, JobOutcome::Completed)]);
+}
--- a/crates/observe/tests/logs_page.rs
+++ b/crates/observe/tests/logs_page.rs
@@ -31,6 +31,12 @@
             caller_waits_ms: 1,
             held: 1,
         },
+        DecisionEvent::JobSubmittedAgain {
+            job: "j".into(),
+            is_same: true,
+            held_ms: 1,
+            callers: 2,
+        },
         DecisionEvent::TasksPlaced {
             job: "j".into(),
             agent: "a".into(),
--- a/crates/types/src/decision_event.rs
+++ b/crates/types/src/decision_event.rs
@@ -35,6 +35,17 @@
         /// Number of unfinished jobs at the entry, including this one.
         held: usize,
     },
+    /// A caller submitted a job under the id of a job that the entry holds.
+    JobSubmittedAgain {
+        /// The held job.
+        job: JobId,
+        /// Whether it is the same job, so that its callers share the answer.
+        is_same: bool,
+        /// Time since the entry accepted the held job.
+        held_ms: u64,
+        /// Number of callers that now wait for the held job.
+        callers: usize,
+    },
     /// An entry assigned tasks of a job to an agent.
     TasksPlaced {
         /// The job.
@@ -263,6 +274,7 @@
     pub fn job(&self) -> Option<&JobId> {
         match self {
             Self::JobTaken { job, .. }
+            | Self::JobSubmittedAgain { job, .. }
             | Self::TasksPlaced { job, .. }
             | Self::TaskReturned { job, .. }
             | Self::JobAnswered { job, .. }
@@ -280,6 +292,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::JobTaken { .. } => "job-taken",
+            Self::JobSubmittedAgain { .. } => "job-submitted-again",
             Self::TasksPlaced { .. } => "tasks-placed",
             Self::TaskReturned { .. } => "task-returned",
             Self::JobAnswered { .. } => "job-answered",
