Answer cancelled submissions with a state that the protocol lists

Cause: a submission whose job was cancelled while it was held was answered with 200 and the state cancelled, which only queries have. A copy of the submission that arrived after the request to cancel started the job again. Change: it is answered with 503 if nothing of the job can have run, else with 410, after which callers do not submit again. Measured: the process test and the new cases of repeated_submissions pass; the outcomes that they name did not exist before.

--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -4,9 +4,9 @@
     crate::{
         placement::{
             CallerId, DispatchAction, DispatchInput, JobOutcome, RefusalReason, Submission,
-            candidates::can_ever_fit, changes::Changes, endpoint_view::EndpointView,
-            held_job::HeldJob, held_task::TaskState, objective::Objective, overload::retry_after,
-            run_time_ratios::RunTimeRatios,
+            cancelled_jobs::CancelledJobs, candidates::can_ever_fit, changes::Changes,
+            endpoint_view::EndpointView, held_job::HeldJob, held_task::TaskState,
+            objective::Objective, overload::retry_after, run_time_ratios::RunTimeRatios,
         },
         timing::millis,
     },
@@ -31,6 +31,7 @@
     /// Jobs with tasks for which the last placement found no room.
     pub(super) unplaced: IndexSet<CallerId>,
     pub(super) changes: Changes,
+    cancelled: CancelledJobs,
     pub(super) by_assignment: IndexMap<AssignmentId, CallerId>,
     pub(super) next_assignment: AssignmentId,
     /// Last tick at which an endpoint could be used; the first tick counts too.
@@ -49,6 +50,7 @@
             jobs: IndexMap::new(),
             unplaced: IndexSet::new(),
             changes: Changes::default(),
+            cancelled: CancelledJobs::default(),
             by_assignment: IndexMap::new(),
             next_assignment: 1,
             had_endpoints_at: None,
@@ -107,6 +109,13 @@
     }
 
     pub(super) fn submit(&mut self, now: Instant, submission: Submission) {
+        if self.cancelled.contains(now, &submission.job.id) {
+            let id = submission.job.id.clone();
+            // An earlier submission may have run here or at another entry.
+            let answer = DispatchAction::Answer(submission.caller, id, JobOutcome::Cancelled);
+            self.actions.push(answer);
+            return;
+        }
         if let Some(first) = self.find_job(&submission.job.id) {
             self.submit_again(now, first, &submission);
             return;
@@ -191,9 +200,17 @@
     }
 
     pub(super) fn cancel(&mut self, now: Instant, id: &JobId) {
-        if let Some(first) = self.find_job(id) {
-            self.end_job(now, first, JobOutcome::Cancelled);
-        }
+        self.cancelled.insert(now, id.clone());
+        let Some(first) = self.find_job(id) else {
+            return;
+        };
+        let may_have_run = self.jobs.get(&first).is_some_and(HeldJob::may_have_run);
+        let outcome = if may_have_run {
+            JobOutcome::Cancelled
+        } else {
+            JobOutcome::CancelledUnstarted
+        };
+        self.end_job(now, first, outcome);
     }
 
     pub(super) fn tick(&mut self, now: Instant) {
--- a/crates/decisions/src/placement/messages.rs
+++ b/crates/decisions/src/placement/messages.rs
@@ -51,8 +51,10 @@
     Refused(RefusalReason, Duration),
     /// The deadline passed; some tasks may have run, and the rest are revoked.
     Expired,
-    /// The job was cancelled.
+    /// The job was cancelled; some tasks may have run, and none will start.
     Cancelled,
+    /// The job was cancelled before any of its tasks could run, and none will.
+    CancelledUnstarted,
     /// Another job is held under the same id; this one does not run.
     IdInUse,
 }
@@ -69,6 +71,7 @@
             Self::Refused(RefusalReason::NeverFits, _) => "refused-never-fits",
             Self::Expired => "expired",
             Self::Cancelled => "cancelled",
+            Self::CancelledUnstarted => "cancelled-unstarted",
             Self::IdInUse => "id-in-use",
         }
     }
--- a/crates/decisions/tests/repeated_submissions.rs
+++ b/crates/decisions/tests/repeated_submissions.rs
@@ -222,3 +222,43 @@
     let ended = entry.end(500, &placed[0], EndKind::Done);
     assert_eq!(answers(&ended), [(FIRST, JobOutcome::Completed)]);
 }
+
+#[rstest]
+fn cancelled_job_that_may_have_run_is_told_not_to_have_run(mut entry: Entry) {
+    entry.submit(0, FIRST, "payload");
+    entry.submit(50, SECOND, "payload");
+    let cancelled = entry.handle(100, DispatchInput::Cancel(JOB.into()));
+    let outcomes = [
+        (FIRST, JobOutcome::Cancelled),
+        (SECOND, JobOutcome::Cancelled),
+    ];
+    assert_eq!(answers(&cancelled), outcomes);
+    assert!(has_revocation(&cancelled));
+}
+
+#[rstest]
+fn cancelled_job_without_a_start_is_told_to_have_run(mut entry: Entry) {
+    entry.handle(0, DispatchInput::AgentDown(AGENT.into()));
+    entry.submit(0, FIRST, "payload");
+    let cancelled = entry.handle(100, DispatchInput::Cancel(JOB.into()));
+    assert_eq!(
+        answers(&cancelled),
+        [(FIRST, JobOutcome::CancelledUnstarted)]
+    );
+}
+
+/// A submission that was delayed or repeated reaches the entry after the request to
+/// cancel its job.
+#[rstest]
+#[case::held(true)]
+#[case::never_held(false)]
+fn cancelled_job_starts_when_it_is_submitted_again(mut entry: Entry, #[case] is_held: bool) {
+    if is_held {
+        entry.submit(0, FIRST, "payload");
+    }
+    entry.handle(100, DispatchInput::Cancel(JOB.into()));
+    let repeated = entry.submit(5_000, SECOND, "payload");
+    assert_eq!(assignments(&repeated), [], "the job started");
+    assert_eq!(answers(&repeated), [(SECOND, JobOutcome::Cancelled)]);
+    assert_eq!(entry.dispatcher.jobs(), 0);
+}
