Answer each caller of a job at its own deadline

Cause: since a job may have several callers, all of them were answered at the last of their deadlines; one that had stopped waiting got nothing until then. Each answer also searched all held jobs for its caller. Change: a caller whose deadline passes gets its 504 then; the job goes on for the others. Callers of repeated submissions are looked up by id. The test that expected no answer at the first deadline is replaced by two that check each caller's.

--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -28,6 +28,8 @@
     pub(super) views: IndexMap<AgentId, EndpointView>,
     /// Held jobs by the caller that submitted each of them first.
     pub(super) jobs: IndexMap<CallerId, HeldJob>,
+    /// Callers that submitted a held job again, with the caller that did so first.
+    repeated: IndexMap<CallerId, CallerId>,
     /// Jobs with tasks for which the last placement found no room.
     pub(super) unplaced: IndexSet<CallerId>,
     pub(super) changes: Changes,
@@ -48,6 +50,7 @@
             zone,
             views: IndexMap::new(),
             jobs: IndexMap::new(),
+            repeated: IndexMap::new(),
             unplaced: IndexSet::new(),
             changes: Changes::default(),
             cancelled: CancelledJobs::default(),
@@ -152,6 +155,7 @@
         let is_same = held.is_same(submission);
         if is_same {
             held.callers.insert(submission.caller, submission.deadline);
+            self.repeated.insert(submission.caller, first);
         }
         let event = DecisionEvent::JobSubmittedAgain {
             job: submission.job.id.clone(),
@@ -182,13 +186,12 @@
     }
 
     pub(super) fn caller_disconnected(&mut self, now: Instant, caller: CallerId) {
-        let mut jobs = self.jobs.iter_mut();
-        let Some((first, job)) = jobs.find(|(_, job)| job.callers.contains_key(&caller)) else {
+        let first = self.repeated.swap_remove(&caller).unwrap_or(caller);
+        let Some(job) = self.jobs.get_mut(&first) else {
             return;
         };
-        let first = *first;
-        job.callers.shift_remove(&caller);
-        if !job.callers.is_empty() {
+        let was_waiting = job.callers.shift_remove(&caller).is_some();
+        if !was_waiting || !job.callers.is_empty() {
             return;
         }
         let event = DecisionEvent::CallerDisconnected {
@@ -217,15 +220,7 @@
         if self.had_endpoints_at.is_none() || self.has_endpoints() {
             self.had_endpoints_at = Some(now);
         }
-        let expired: Vec<CallerId> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.deadline() <= now)
-            .map(|(caller, _)| *caller)
-            .collect();
-        for caller in expired {
-            self.end_without_result(now, caller, RefusalReason::Overload);
-        }
+        self.expire(now);
         for (caller, job) in &mut self.jobs {
             for task in &mut job.tasks {
                 if let TaskState::InDoubt(_, _, until) = task.state
@@ -241,6 +236,29 @@
         self.refuse_unservable(now);
     }
 
+    /// Answers the callers whose deadline passed, and ends the jobs for which no caller
+    /// waits any longer.
+    fn expire(&mut self, now: Instant) {
+        let mut expired = Vec::new();
+        for (first, job) in &mut self.jobs {
+            if job.deadline() <= now {
+                expired.push(*first);
+                continue;
+            }
+            while let Some(caller) = job.take_expired_caller(now) {
+                self.repeated.swap_remove(&caller);
+                let event = job.answer_event(now, JobOutcome::Expired);
+                let id = job.job.id.clone();
+                self.actions.push(DispatchAction::Record(event));
+                self.actions
+                    .push(DispatchAction::Answer(caller, id, JobOutcome::Expired));
+            }
+        }
+        for first in expired {
+            self.end_without_result(now, first, RefusalReason::Overload);
+        }
+    }
+
     /// Refuses jobs without a start that are too late or that no endpoint can
     /// serve.
     pub(super) fn refuse_unservable(&mut self, now: Instant) {
@@ -315,6 +333,9 @@
         let Some(job) = self.jobs.shift_remove(&caller) else {
             return;
         };
+        for waiting in job.callers.keys() {
+            self.repeated.swap_remove(waiting);
+        }
         let mut by_agent: IndexMap<AgentId, Vec<AssignmentId>> = IndexMap::new();
         for (agent, id) in job.holders() {
             by_agent.entry(agent).or_default().push(id);
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -73,6 +73,15 @@
         last.copied().unwrap_or(self.arrived_at)
     }
 
+    /// Removes and returns a caller whose deadline passed.
+    pub(crate) fn take_expired_caller(&mut self, now: Instant) -> Option<CallerId> {
+        let mut callers = self.callers.iter();
+        let (caller, _) = callers.find(|(_, deadline)| **deadline <= now)?;
+        let caller = *caller;
+        self.callers.shift_remove(&caller);
+        Some(caller)
+    }
+
     pub(crate) fn step(&self, step: StepIndex) -> &StepSpec {
         &self.job.steps[usize::from(step)]
     }
--- a/crates/decisions/tests/repeated_submissions.rs
+++ b/crates/decisions/tests/repeated_submissions.rs
@@ -203,14 +203,27 @@
 }
 
 #[rstest]
-fn job_expires_while_its_second_caller_waits(mut entry: Entry) {
-    entry.submit(0, FIRST, "payload");
+fn caller_is_held_beyond_its_deadline_by_another_caller_of_its_job(mut entry: Entry) {
+    let placed = assignments(&entry.submit(0, FIRST, "payload"));
     entry.submit(1_000, SECOND, "payload");
     let at_first_deadline = entry.handle(CALLER_WAITS, DispatchInput::Tick);
-    assert_eq!(answers(&at_first_deadline), []);
+    let outcomes = [(FIRST, JobOutcome::Expired)];
+    assert_eq!(answers(&at_first_deadline), outcomes);
+    let left = entry.handle(CALLER_WAITS, DispatchInput::CallerDisconnected(FIRST));
+    assert!(!has_revocation(&left), "the job was stopped");
+    let ended = entry.end(2_500, &placed[0], EndKind::Done);
+    assert_eq!(answers(&ended), [(SECOND, JobOutcome::Completed)]);
+}
+
+#[rstest]
+fn job_is_held_after_the_last_deadline_of_its_callers(mut entry: Entry) {
+    entry.submit(0, FIRST, "payload");
+    entry.submit(1_000, SECOND, "payload");
     let at_last_deadline = entry.handle(1_000 + CALLER_WAITS, DispatchInput::Tick);
     let outcomes = [(FIRST, JobOutcome::Expired), (SECOND, JobOutcome::Expired)];
     assert_eq!(answers(&at_last_deadline), outcomes);
+    assert!(has_revocation(&at_last_deadline));
+    assert_eq!(entry.dispatcher.jobs(), 0);
 }
 
 #[rstest]
