Record crashes of endpoints with the tasks that were there

Cause: a crash, a lost lease and a planned stop all showed as stopped runs, so that the logs did not tell under which tasks endpoints crash. Change: agents tell an order that was not sent from one that an unhealthy endpoint refused, and record endpoint-crashed; decisions do not change.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         guard::{
-            Announcement, Answer, GuardAction, GuardMachine, GuardMessage,
+            Announcement, Answer, GuardAction, GuardMachine, GuardMessage, OrderFault,
             endpoint_state::EndpointState,
             run::{Phase, Run, RunKey},
         },
@@ -58,6 +58,7 @@
             .endpoint
             .as_ref()
             .is_some_and(|endpoint| endpoint.info.endpoint == announcement.info.endpoint);
+        self.record_crash();
         if is_same_id {
             self.return_waiting(now);
         } else {
@@ -122,13 +123,42 @@
         endpoint.is_clean = false;
         endpoint.health.record_failure();
         let info = endpoint.info.clone();
+        let has_ended = endpoint.has_ended();
         self.record_endpoint_event(&info, "silent");
+        if has_ended {
+            self.record_crash();
+        } else {
+            let tasks = self.runs.tasks_at_endpoint();
+            if let Some(endpoint) = &mut self.endpoint {
+                endpoint.lapsed = tasks;
+            }
+        }
         for key in lapsed {
             self.finish_run(now, &key, EndKind::Stopped);
         }
         self.mark_stale();
     }
 
+    /// Records that the endpoint crashed, with the tasks that were there. An endpoint
+    /// that had announced its end did not crash.
+    fn record_crash(&mut self) {
+        let Some(endpoint) = self.endpoint.as_mut().filter(|e| !e.is_leaving) else {
+            return;
+        };
+        let mut at_work = std::mem::take(&mut endpoint.lapsed);
+        at_work.extend(self.runs.tasks_at_endpoint());
+        if at_work.is_empty() {
+            return;
+        }
+        self.runs.mark_crashed();
+        let info = endpoint.info.clone();
+        self.record_decision(DecisionEvent::EndpointCrashed {
+            endpoint: info.endpoint,
+            incarnation: info.incarnation,
+            at_work,
+        });
+    }
+
     /// Updates the endpoint's clock from an answer; returns whether the answer
     /// is from the current incarnation.
     pub(super) fn update_clock<T>(
@@ -143,9 +173,13 @@
         if endpoint.info.incarnation != incarnation {
             return false;
         }
-        if let Answer::Done(clock, _) | Answer::Refused(Some(clock), _) = answer {
-            endpoint.clock.update(now, *clock);
-            endpoint.last_contact_at = now;
+        match answer {
+            Answer::Done(clock, _) | Answer::Refused(Some(clock), _) => {
+                endpoint.clock.update(now, *clock);
+                endpoint.record_contact(now);
+            }
+            Answer::Refused(None, OrderFault::Unreachable) => endpoint.is_unreachable = true,
+            Answer::Refused(None, _) | Answer::Unknown => {}
         }
         true
     }
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -5,7 +5,7 @@
         guard::{Announcement, EndNumber, EndpointClock, EndpointHealth},
         timing::{ENDPOINT_SILENCE_LIMIT, FAILING_PAUSE, IMMEDIATE_LIST_AFTER},
     },
-    chestnutrun_types::EndpointInfo,
+    chestnutrun_types::{EndpointInfo, TaskId},
     std::time::Instant,
 };
 
@@ -38,6 +38,10 @@
     pub(crate) is_leaving: bool,
     /// Whether a later incarnation answers that has not announced itself yet.
     pub(crate) is_superseded: bool,
+    /// Whether the last order was not sent for want of a connection.
+    pub(crate) is_unreachable: bool,
+    /// Tasks whose lease ended while the endpoint was silent.
+    pub(crate) lapsed: Vec<TaskId>,
     /// Whether the endpoint is known to run only tasks that this agent started.
     pub(crate) is_clean: bool,
     /// Number of the newest end that was processed.
@@ -67,6 +71,8 @@
             health: EndpointHealth::default(),
             is_leaving: announcement.leaving,
             is_superseded: false,
+            is_unreachable: false,
+            lapsed: Vec::new(),
             is_clean: false,
             last_end: 0,
             last_contact_at: now,
@@ -78,6 +84,19 @@
         }
     }
 
+    /// Records that the endpoint answered, so that its process is there.
+    pub(crate) fn record_contact(&mut self, now: Instant) {
+        self.last_contact_at = now;
+        self.is_unreachable = false;
+        self.lapsed.clear();
+    }
+
+    /// Whether the endpoint's process has ended: none accepts connections at its
+    /// address, or a later incarnation does.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.is_unreachable || self.is_superseded
+    }
+
     /// Whether the endpoint answered within `ENDPOINT_SILENCE_LIMIT`.
     pub(crate) fn is_responsive(&self, now: Instant) -> bool {
         now < self.last_contact_at + ENDPOINT_SILENCE_LIMIT
--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -110,6 +110,7 @@
                 progressed_at: None,
                 stop_sent_at: None,
                 resend_stop_at: None,
+                has_crashed: false,
                 end_kind: EndKind::NotStarted,
             });
         }
--- a/crates/decisions/src/guard/messages.rs
+++ b/crates/decisions/src/guard/messages.rs
@@ -75,8 +75,10 @@
     LeaseOver,
     /// The endpoint has too little free room.
     NoRoom,
-    /// The endpoint is unhealthy or unreachable; it did not carry out the order.
+    /// The endpoint is unhealthy; it did not carry out the order.
     Unhealthy,
+    /// No connection to the endpoint was made, so that the order was not sent.
+    Unreachable,
     /// Another incarnation of the endpoint answered.
     OtherIncarnation,
     /// The endpoint rejected the order as invalid.
@@ -93,6 +95,7 @@
             Self::LeaseOver => "lease-over",
             Self::NoRoom => "no-room",
             Self::Unhealthy => "unwell",
+            Self::Unreachable => "unreachable",
             Self::OtherIncarnation => "other-incarnation",
             Self::Invalid => "invalid",
         }
--- a/crates/decisions/src/guard/run.rs
+++ b/crates/decisions/src/guard/run.rs
@@ -61,6 +61,9 @@
     pub(crate) stop_sent_at: Option<Instant>,
     /// When a stop is sent again that was refused or whose connection broke.
     pub(crate) resend_stop_at: Option<Instant>,
+    /// Whether the endpoint crashed while the run was there; the run may still be
+    /// stopped at the next incarnation.
+    pub(crate) has_crashed: bool,
     /// Kind of end to report once the run is no longer listed.
     pub(crate) end_kind: EndKind,
 }
--- a/crates/decisions/src/guard/runs.rs
+++ b/crates/decisions/src/guard/runs.rs
@@ -101,6 +101,21 @@
         self.sum_needs(|_| true)
     }
 
+    /// Returns the tasks of the runs at the endpoint, but for those that were there
+    /// at an earlier crash.
+    pub(crate) fn tasks_at_endpoint(&self) -> Vec<TaskId> {
+        let runs = self.iter();
+        let runs = runs.filter(|run| run.is_at_endpoint() && !run.has_crashed);
+        runs.map(|run| run.task.clone()).collect()
+    }
+
+    /// Marks the runs at the endpoint, which has crashed.
+    pub(crate) fn mark_crashed(&mut self) {
+        for run in self.by_key.values_mut() {
+            run.has_crashed |= run.is_at_endpoint();
+        }
+    }
+
     /// Whether another run of the same task may hold room at the endpoint.
     pub(crate) fn has_other_run(&self, task: &TaskId, key: &RunKey) -> bool {
         self.by_key
--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -57,7 +57,7 @@
                 }
             }
             OrderFault::LeaseOver => {}
-            OrderFault::Unhealthy | OrderFault::OtherIncarnation => {
+            OrderFault::Unhealthy | OrderFault::Unreachable | OrderFault::OtherIncarnation => {
                 self.record_endpoint_failure();
                 self.finish_run(now, key, EndKind::NotStarted);
                 return;
--- a/crates/observe/tests/logs_page.rs
+++ b/crates/observe/tests/logs_page.rs
@@ -123,6 +123,11 @@
             incarnation: 1,
             news: "usable".into(),
         },
+        DecisionEvent::EndpointCrashed {
+            endpoint: "e".into(),
+            incarnation: 1,
+            at_work: Vec::new(),
+        },
         DecisionEvent::EntryLost {
             entry: "e".into(),
             tasks: 0,
--- a/crates/types/src/decision_event.rs
+++ b/crates/types/src/decision_event.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AgentId, AssignmentId, EndKind, EndpointId, EntryId, Incarnation, JobId, Revision, RouteId,
-        RoutingVersion, RunNumber, ServiceId, TaskPosition,
+        RoutingVersion, RunNumber, ServiceId, TaskId, TaskPosition,
     },
     serde::{Deserialize, Serialize},
     std::borrow::Cow,
@@ -200,6 +200,15 @@
         /// The change, such as `announced`, `usable` or `silent`.
         news: Cow<'static, str>,
     },
+    /// An agent learned that its endpoint crashed.
+    EndpointCrashed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Number of the endpoint's run.
+        incarnation: Incarnation,
+        /// Tasks that were at the endpoint.
+        at_work: Vec<TaskId>,
+    },
     /// An agent considers an entry dead and stops the tasks that it assigned.
     EntryLost {
         /// The entry.
@@ -293,6 +302,7 @@
             Self::TaskStopped { .. } => "task-stopped",
             Self::TaskEnded { .. } => "task-ended",
             Self::EndpointLifecycle { .. } => "endpoint-news",
+            Self::EndpointCrashed { .. } => "endpoint-crashed",
             Self::EntryLost { .. } => "entry-lost",
             Self::RoutingInForce { .. } => "routing-in-force",
             Self::DirectoryAnswer { .. } => "directory-answer",
