Give up a task under which two endpoints crashed

Cause: a crash ended a task as a revocation does, so that nothing but the deadline of its caller ended the tries, and the count was lost with the entry. Change: agents report each crash with the tasks that were there to every entry; an entry answers failed once two endpoints crashed under a task, also where the job is submitted again or the entry is new. Old processes ignore the new field.

--- a/crates/bench/benches/placement.rs
+++ b/crates/bench/benches/placement.rs
@@ -123,6 +123,7 @@
         slowness: 1.0,
         last_assignment: u64::MAX,
         ends,
+        crashes: Vec::new(),
         ..AgentUpdate::default()
     }
 }
--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -9,7 +9,9 @@
         },
         timing::NUMBER_STEP,
     },
-    chestnutrun_types::{DecisionEvent, EndKind, EndpointId, EndpointInfo, Incarnation, RunNumber},
+    chestnutrun_types::{
+        DecisionEvent, EndKind, EndpointCrash, EndpointId, EndpointInfo, Incarnation, RunNumber,
+    },
     std::time::Instant,
 };
 
@@ -58,7 +60,7 @@
             .endpoint
             .as_ref()
             .is_some_and(|endpoint| endpoint.info.endpoint == announcement.info.endpoint);
-        self.record_crash();
+        self.record_crash(now);
         if is_same_id {
             self.return_waiting(now);
         } else {
@@ -126,7 +128,7 @@
         let has_ended = endpoint.has_ended();
         self.record_endpoint_event(&info, "silent");
         if has_ended {
-            self.record_crash();
+            self.record_crash(now);
         } else {
             let tasks = self.runs.tasks_at_endpoint();
             if let Some(endpoint) = &mut self.endpoint {
@@ -139,9 +141,9 @@
         self.mark_stale();
     }
 
-    /// Records that the endpoint crashed, with the tasks that were there. An endpoint
+    /// Records and reports that the endpoint crashed, with the tasks that were there. An endpoint
     /// that had announced its end did not crash.
-    fn record_crash(&mut self) {
+    fn record_crash(&mut self, now: Instant) {
         let Some(endpoint) = self.endpoint.as_mut().filter(|e| !e.is_leaving) else {
             return;
         };
@@ -150,13 +152,19 @@
         if at_work.is_empty() {
             return;
         }
+        let crash = EndpointCrash {
+            endpoint: endpoint.info.endpoint.clone(),
+            incarnation: endpoint.info.incarnation,
+            tasks: at_work,
+        };
         self.runs.mark_crashed();
-        let info = endpoint.info.clone();
         self.record_decision(DecisionEvent::EndpointCrashed {
-            endpoint: info.endpoint,
-            incarnation: info.incarnation,
-            at_work,
+            endpoint: crash.endpoint.clone(),
+            incarnation: crash.incarnation,
+            at_work: crash.tasks.clone(),
         });
+        self.crashes.add(now, crash);
+        self.mark_stale();
     }
 
     /// Updates the endpoint's clock from an answer; returns whether the answer
--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -41,10 +41,12 @@
         state.is_withdrawn = false;
         state.is_stale = true;
         state.last_report = None;
+        state.known_crash = self.crashes.newest();
         let resync = Resync {
             info,
             live,
             ends: state.resync_ends(),
+            crashes: self.crashes.after(0),
         };
         self.actions
             .push(GuardAction::Send(entry, GuardMessage::Resync(resync)));
@@ -206,12 +208,14 @@
     pub(super) fn send_updates(&mut self, now: Instant) {
         let room_of = self.room_by_position(now);
         let zone = self.zone();
+        let newest_crash = self.crashes.newest();
         for (position, (entry, state)) in self.entries.iter_mut().enumerate() {
             let room = state.offer(room_of(position));
             let is_due = state
                 .report_due_at(now, &zone, room)
                 .is_some_and(|at| at <= now);
-            if !state.is_linked || (state.unsent_ends.is_empty() && !is_due) {
+            let has_news = !state.unsent_ends.is_empty() || state.known_crash < newest_crash;
+            if !state.is_linked || !(has_news || is_due) {
                 continue;
             }
             state.is_stale = false;
@@ -223,7 +227,9 @@
                 slowness: room.slowness,
                 last_assignment: state.last_assignment,
                 ends: std::mem::take(&mut state.unsent_ends),
+                crashes: self.crashes.after(state.known_crash),
             };
+            state.known_crash = newest_crash;
             let message = GuardMessage::Update(update);
             self.actions.push(GuardAction::Send(entry.clone(), message));
         }
--- a/crates/decisions/src/guard/entry_state.rs
+++ b/crates/decisions/src/guard/entry_state.rs
@@ -1,7 +1,10 @@
 //! State that an agent keeps for each entry.
 
 use {
-    crate::timing::{AMPLE_REPORT_INTERVAL, OTHER_ZONE_REPORT_INTERVAL, REPORT_INTERVAL},
+    crate::{
+        crashes::CrashNumber,
+        timing::{AMPLE_REPORT_INTERVAL, OTHER_ZONE_REPORT_INTERVAL, REPORT_INTERVAL},
+    },
     chestnutrun_types::{AssignmentId, Incarnation, Reserve, Resources, TaskEnd, ZoneId},
     std::{
         collections::VecDeque,
@@ -58,6 +61,8 @@
     pub(crate) last_report: Option<(Instant, ReportedRoom)>,
     /// Ended tasks that no update has reported yet.
     pub(crate) unsent_ends: Vec<TaskEnd>,
+    /// Number of the newest crash that was reported to the entry.
+    pub(crate) known_crash: CrashNumber,
     /// Recently ended tasks, kept for at least `ENDS_KEPT`, and when they ended.
     recent_ends: VecDeque<(Instant, TaskEnd)>,
 }
@@ -74,6 +79,7 @@
             is_stale: true,
             last_report: None,
             unsent_ends: Vec::new(),
+            known_crash: 0,
             recent_ends: VecDeque::new(),
         }
     }
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        crashes::CrashReports,
         guard::{
             FencingToken, GuardAction, GuardInput, contention::Contention,
             endpoint_state::EndpointState, entry_state::EntryState, run::Phase, runs::Runs,
@@ -30,6 +31,7 @@
     pub(super) entries: IndexMap<EntryId, EntryState>,
     pub(super) runs: Runs,
     pub(super) contention: Contention,
+    pub(super) crashes: CrashReports,
     pub(super) is_leaving: bool,
     pub(super) actions: Vec<GuardAction>,
 }
@@ -45,6 +47,7 @@
             entries: IndexMap::new(),
             runs: Runs::default(),
             contention: Contention::default(),
+            crashes: CrashReports::default(),
             is_leaving: false,
             actions: Vec::new(),
         }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,6 +5,7 @@
 //! numbers come only from a generator that the caller passes in.
 
 pub mod agent;
+mod crashes;
 pub mod front;
 pub mod guard;
 pub mod membership;
--- a/crates/decisions/src/placement/agent_inputs.rs
+++ b/crates/decisions/src/placement/agent_inputs.rs
@@ -30,6 +30,7 @@
         let known = self.views.get(agent);
         let is_same = known.is_some_and(|view| view.incarnation == incarnation);
         let has_endpoint = resync.info.is_some();
+        self.count_crashes(now, resync.crashes);
         if !is_same {
             self.agent_down(now, agent);
         }
@@ -167,6 +168,7 @@
     }
 
     pub(super) fn agent_updated(&mut self, now: Instant, agent: &AgentId, mut update: AgentUpdate) {
+        self.count_crashes(now, std::mem::take(&mut update.crashes));
         let ends = std::mem::take(&mut update.ends);
         if let Some(view) = self.views.get_mut(agent) {
             view.update(now, &update);
--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        crashes::CrashCounts,
         placement::{
             CallerId, DispatchAction, DispatchInput, JobOutcome, RefusalReason, Submission,
             candidates::can_ever_fit, changes::Changes, endpoint_view::EndpointView,
@@ -35,6 +36,7 @@
     /// Last tick at which an endpoint could be used; the first tick counts too.
     pub(super) had_endpoints_at: Option<Instant>,
     pub(super) ratios: RunTimeRatios,
+    pub(super) crashes: CrashCounts,
     pub(super) actions: Vec<DispatchAction>,
 }
 
@@ -52,6 +54,7 @@
             next_assignment: 1,
             had_endpoints_at: None,
             ratios: RunTimeRatios::default(),
+            crashes: CrashCounts::default(),
             actions: Vec::new(),
         }
     }
@@ -70,6 +73,7 @@
             DispatchInput::AnswerAllBy(by) => self.answer_all_by(by),
             DispatchInput::Tick => self.tick(at),
         }
+        self.give_up_crashing_jobs(at);
         self.place(at);
         std::mem::take(&mut self.actions)
     }
@@ -179,6 +183,7 @@
             }
         }
         self.forget_lost_agents(now);
+        self.crashes.forget_old(now);
         self.shed_late_jobs(now);
         self.refuse_unservable(now);
     }
--- a/crates/decisions/src/placement/endpoint_view.rs
+++ b/crates/decisions/src/placement/endpoint_view.rs
@@ -54,6 +54,7 @@
         }
         self.reported = AgentUpdate {
             ends: Vec::new(),
+            crashes: Vec::new(),
             ..*update
         };
     }
--- a/crates/decisions/src/placement/mod.rs
+++ b/crates/decisions/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod agent_inputs;
 mod candidates;
 mod changes;
+mod crashes;
 mod dispatcher;
 mod endpoint_view;
 mod held_job;
--- a/crates/decisions/tests/crashes.rs
+++ b/crates/decisions/tests/crashes.rs
@@ -2,15 +2,23 @@
 //! endpoint that starts it must not crash one after another.
 
 use {
-    chestnutrun_decisions::guard::{
-        Announcement, Answer, GuardAction, GuardConf, GuardInput, GuardMachine, ListOrder,
-        ListReply, OrderFault,
+    chestnutrun_decisions::{
+        guard::{
+            Announcement, Answer, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage,
+            ListOrder, ListReply, OrderFault,
+        },
+        placement::{DispatchAction, DispatchInput, Dispatcher, JobOutcome, Submission},
     },
     chestnutrun_types::{
-        AssignedTask, Assignment, DecisionEvent, EndpointInfo, Now, Resources, TaskPosition,
+        AgentId, AssignedTask, Assignment, BestEffortJob, DecisionEvent, EndpointInfo, Now,
+        Resources, Route, StepSpec, TaskPosition,
     },
     rstest::rstest,
-    std::time::{Duration, Instant, SystemTime},
+    std::{
+        rc::Rc,
+        sync::Arc,
+        time::{Duration, Instant, SystemTime},
+    },
 };
 
 const CLOCK: Duration = Duration::from_secs(1);
@@ -27,9 +35,13 @@
 }
 
 fn announcement(incarnation: u64, sequence: u64, leaving: bool) -> GuardInput {
+    announcement_of("endpoint", incarnation, sequence, leaving)
+}
+
+fn announcement_of(endpoint: &str, incarnation: u64, sequence: u64, leaving: bool) -> GuardInput {
     GuardInput::Announced(Announcement {
         info: EndpointInfo {
-            endpoint: "endpoint".into(),
+            endpoint: endpoint.into(),
             incarnation,
             service: "service".into(),
             zone: "zone".into(),
@@ -68,14 +80,17 @@
 
 impl Agent {
     fn new() -> Self {
+        Self::of("endpoint")
+    }
+
+    fn of(endpoint: &str) -> Self {
         let mut agent = Self {
             begin: Instant::now(),
             guard: GuardMachine::new(GuardConf { first_number: 1 }),
             lists: Vec::new(),
         };
-        agent.handle(0, announcement(1, 1, false));
+        agent.handle(0, announcement_of(endpoint, 1, 1, false));
         agent.answer_lists(0, &Answer::Done(CLOCK, ListReply::default()));
-        agent.handle(0, GuardInput::LinkUp("entry".into(), 1, "zone".into()));
         agent
     }
 
@@ -104,6 +119,11 @@
         actions
     }
 
+    fn link(&mut self, millis: u64, incarnation: u64) -> Vec<GuardAction> {
+        let up = GuardInput::LinkUp("entry".into(), incarnation, "zone".into());
+        self.handle(millis, up)
+    }
+
     /// Assigns tasks, and has the endpoint start them.
     fn start(&mut self, millis: u64, assignment: Assignment) {
         let input = GuardInput::Assign("entry".into(), assignment);
@@ -150,6 +170,7 @@
     #[case] expected: Vec<usize>,
 ) {
     let mut agent = Agent::new();
+    agent.link(0, 1);
     agent.start(1, assignment(1, "00000000000000a1", 2));
     assert_eq!(crashes(&agent.lapse(10, &answer)), expected);
 }
@@ -159,6 +180,7 @@
 #[case::left(true, vec![])]
 fn a_planned_end_is_taken_for_a_crash(#[case] is_planned: bool, #[case] expected: Vec<usize>) {
     let mut agent = Agent::new();
+    agent.link(0, 1);
     agent.start(1, assignment(1, "00000000000000a1", 2));
     agent.handle(2, announcement(1, 2, is_planned));
     let actions = agent.handle(10, announcement(2, 1, false));
@@ -168,6 +190,7 @@
 #[rstest]
 fn a_crash_behind_silence_is_not_recorded() {
     let mut agent = Agent::new();
+    agent.link(0, 1);
     agent.start(1, assignment(1, "00000000000000a1", 2));
     assert_eq!(crashes(&agent.lapse(10, &Answer::Unknown)), []);
     let actions = agent.handle(2_000, announcement(2, 1, false));
@@ -177,8 +200,196 @@
 #[rstest]
 fn runs_that_a_crash_ended_count_again_at_the_next_one() {
     let mut agent = Agent::new();
+    agent.link(0, 1);
     agent.start(1, assignment(1, "00000000000000a1", 2));
     let first = agent.handle(10, announcement(2, 1, false));
     let second = agent.handle(20, announcement(3, 1, false));
     assert_eq!((crashes(&first), crashes(&second)), (vec![2], vec![]));
 }
+
+/// Agents that are linked to one entry. Each endpoint that starts a deadly job crashes
+/// and does not come back; all others complete their runs at once.
+struct Site {
+    dispatcher: Dispatcher,
+    entry_run: u64,
+    agents: Vec<(AgentId, Agent)>,
+    down: Vec<AgentId>,
+    deadly: Vec<Arc<str>>,
+    starts: Vec<Arc<str>>,
+    answers: Vec<(Arc<str>, JobOutcome)>,
+}
+
+const DEADLINE_MS: u64 = 20_000;
+
+impl Site {
+    fn new(endpoints: usize) -> Self {
+        let agent = |number| {
+            let name = format!("endpoint-{number}");
+            (name.as_str().into(), Agent::of(&name))
+        };
+        let mut site = Self {
+            dispatcher: Dispatcher::new("zone".into()),
+            entry_run: 0,
+            agents: (0..endpoints).map(agent).collect(),
+            down: Vec::new(),
+            deadly: Vec::new(),
+            starts: Vec::new(),
+            answers: Vec::new(),
+        };
+        site.restart_entry(0);
+        site
+    }
+
+    /// Replaces the entry by one that knows nothing.
+    fn restart_entry(&mut self, millis: u64) {
+        self.dispatcher = Dispatcher::new("zone".into());
+        self.entry_run += 1;
+        for number in 0..self.agents.len() {
+            let actions = self.agents[number].1.link(millis, self.entry_run);
+            self.agent_actions(millis, number, actions);
+        }
+    }
+
+    fn submit(&mut self, millis: u64, job: &str, tasks: u16) {
+        let step = StepSpec {
+            tasks,
+            need: room(1),
+            estimate: Duration::from_millis(100),
+            after: Vec::new(),
+            requires: None,
+            rack: None,
+            most_per_endpoint: None,
+        };
+        let submission = Submission {
+            caller: millis,
+            route: Arc::new(Route {
+                id: "route".into(),
+                host: "host".into(),
+                path_prefix: "/path/".into(),
+                service: "service".into(),
+                priority: 0,
+                attempts: 3,
+                stretch: 100.0,
+                target_latency: Duration::from_secs(10),
+                needs_advice: false,
+            }),
+            job: Rc::new(BestEffortJob {
+                id: job.into(),
+                payload: "payload".into(),
+                steps: vec![step],
+            }),
+            deadline: self.agents[0].1.begin + Duration::from_millis(millis + DEADLINE_MS),
+        };
+        self.entry(millis, DispatchInput::Submit(submission));
+    }
+
+    fn entry(&mut self, millis: u64, input: DispatchInput) {
+        let now = Now {
+            instant: self.agents[0].1.begin + Duration::from_millis(millis),
+            wall: SystemTime::UNIX_EPOCH,
+        };
+        for action in self.dispatcher.handle(now, input) {
+            match action {
+                DispatchAction::Answer(_, job, outcome) => self.answers.push((job, outcome)),
+                DispatchAction::Assign(agent, assignment) => {
+                    self.agent(
+                        millis,
+                        &agent,
+                        GuardInput::Assign("entry".into(), assignment),
+                    );
+                }
+                DispatchAction::Revoke(agent, revocation) => {
+                    self.agent(
+                        millis,
+                        &agent,
+                        GuardInput::Revoke("entry".into(), revocation),
+                    );
+                }
+                DispatchAction::Record(_) => {}
+            }
+        }
+    }
+
+    fn agent(&mut self, millis: u64, agent: &AgentId, input: GuardInput) {
+        let number = self.agents.iter().position(|(name, _)| name == agent);
+        let number = number.expect("the agent exists");
+        let actions = self.agents[number].1.handle(millis, input);
+        self.agent_actions(millis, number, actions);
+    }
+
+    fn agent_actions(&mut self, millis: u64, number: usize, actions: Vec<GuardAction>) {
+        let name = self.agents[number].0.clone();
+        for action in actions {
+            match action {
+                GuardAction::Send(_, GuardMessage::Resync(resync)) => {
+                    let up = DispatchInput::AgentUp(name.clone(), 1, resync);
+                    self.entry(millis, up);
+                }
+                GuardAction::Send(_, GuardMessage::Endpoint(info)) => {
+                    self.entry(millis, DispatchInput::EndpointChanged(name.clone(), info));
+                }
+                GuardAction::Send(_, GuardMessage::Update(update)) => {
+                    self.entry(millis, DispatchInput::Update(name.clone(), update));
+                }
+                GuardAction::Start(order) => {
+                    self.starts.push(order.task.job.clone());
+                    if self.deadly.contains(&order.task.job) {
+                        self.down.push(name.clone());
+                    }
+                    let answer = if self.down.contains(&name) {
+                        Answer::Unknown
+                    } else {
+                        Answer::Done(CLOCK, ())
+                    };
+                    let started = GuardInput::Started(order.incarnation, order.run, answer);
+                    self.agent(millis, &name, started);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Lets time pass, in which endpoints complete nothing.
+    fn run(&mut self, from: u64, to: u64) {
+        for millis in (from..to).step_by(10) {
+            for number in 0..self.agents.len() {
+                let (name, agent) = &mut self.agents[number];
+                let answer = if self.down.contains(name) {
+                    REFUSED
+                } else {
+                    Answer::Done(CLOCK + Duration::from_millis(millis), ListReply::default())
+                };
+                let mut actions = agent.answer_lists(millis, &answer);
+                actions.extend(agent.handle(millis, GuardInput::Tick));
+                self.agent_actions(millis, number, actions);
+            }
+            self.entry(millis, DispatchInput::Tick);
+        }
+    }
+}
+
+const DEADLY: &str = "00000000000000d1";
+
+#[rstest]
+fn a_deadly_task_crashes_one_endpoint_after_another() {
+    let mut site = Site::new(6);
+    site.deadly.push(DEADLY.into());
+    site.submit(20, DEADLY, 1);
+    site.run(20, 10_000);
+    assert_eq!(site.down.len(), 2, "endpoints that crashed");
+    assert_eq!(site.answers, [(DEADLY.into(), JobOutcome::Failed)]);
+}
+
+#[rstest]
+fn a_restarted_entry_has_a_deadly_task_started_anew() {
+    let mut site = Site::new(6);
+    site.deadly.push(DEADLY.into());
+    site.submit(20, DEADLY, 1);
+    site.run(20, 4_000);
+    site.restart_entry(4_000);
+    site.submit(4_010, DEADLY, 1);
+    site.run(4_010, 10_000);
+    assert_eq!(site.down.len(), 2, "endpoints that crashed");
+    let failed = (DEADLY.into(), JobOutcome::Failed);
+    assert_eq!(site.answers, [failed.clone(), failed]);
+}
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -102,6 +102,7 @@
             slowness: 1.0,
             last_assignment: u64::MAX,
             ends,
+            crashes: Vec::new(),
         };
         self.handle_after(after, DispatchInput::Update(AGENT.into(), update))
     }
--- a/crates/observe/tests/logs_page.rs
+++ b/crates/observe/tests/logs_page.rs
@@ -58,6 +58,10 @@
             at_agents: 0,
             returned: 0,
         },
+        DecisionEvent::JobGivenUp {
+            job: "j".into(),
+            crashes: 2,
+        },
         DecisionEvent::CallerDisconnected {
             job: "j".into(),
             took_ms: 1,
--- a/crates/types/src/decision_event.rs
+++ b/crates/types/src/decision_event.rs
@@ -87,6 +87,13 @@
         /// Number of times that an agent returned a task that did not complete.
         returned: u32,
     },
+    /// An entry gave up a job, since endpoints crashed under one of its tasks.
+    JobGivenUp {
+        /// The job.
+        job: JobId,
+        /// Number of the crashes.
+        crashes: usize,
+    },
     /// An entry has no route for a request.
     RouteNotFound {
         /// Host of the request.
@@ -275,6 +282,7 @@
             | Self::TasksPlaced { job, .. }
             | Self::TaskReturned { job, .. }
             | Self::JobAnswered { job, .. }
+            | Self::JobGivenUp { job, .. }
             | Self::CallerDisconnected { job, .. }
             | Self::TaskStarted { job, .. }
             | Self::StartRefused { job, .. }
@@ -292,6 +300,7 @@
             Self::TasksPlaced { .. } => "tasks-placed",
             Self::TaskReturned { .. } => "task-returned",
             Self::JobAnswered { .. } => "job-answered",
+            Self::JobGivenUp { .. } => "job-given-up",
             Self::RouteNotFound { .. } => "route-not-found",
             Self::CallerDisconnected { .. } => "caller-gone",
             Self::AgentLinked { .. } => "agent-linked",
--- a/crates/types/src/endpoint_report.rs
+++ b/crates/types/src/endpoint_report.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        AssignmentId, EndpointId, Incarnation, Label, Resources, RunNumber, ServiceId,
+        AssignmentId, EndpointId, Incarnation, Label, Resources, RunNumber, ServiceId, TaskId,
         TaskPosition, ZoneId,
     },
     serde::{Deserialize, Serialize},
@@ -72,6 +72,17 @@
     pub ran: Duration,
 }
 
+/// Reports that an endpoint crashed while tasks were there.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndpointCrash {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Number of the endpoint's run that ended.
+    pub incarnation: Incarnation,
+    /// Tasks of all entries that were at the endpoint.
+    pub tasks: Vec<TaskId>,
+}
+
 /// Resources of an endpoint that only tasks above a priority may use.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Reserve {
@@ -117,6 +128,9 @@
     pub last_assignment: AssignmentId,
     /// Tasks of this entry that ended.
     pub ends: Vec<TaskEnd>,
+    /// Crashes of the endpoint that this entry does not know of.
+    #[serde(default)]
+    pub crashes: Vec<EndpointCrash>,
 }
 
 /// First message of an agent on a link, which reports the state of the entry's
@@ -129,4 +143,7 @@
     pub live: Vec<(AssignmentId, TaskPosition)>,
     /// Recent ends of tasks, including those that were reported before.
     pub ends: Vec<TaskEnd>,
+    /// Recent crashes of the endpoint, including those that were reported before.
+    #[serde(default)]
+    pub crashes: Vec<EndpointCrash>,
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -29,7 +29,9 @@
     configuration::{Configuration, DrainState, RowRevisions},
     contract::{Contract, ContractBuilder, ContractError, Overflow},
     decision_event::DecisionEvent,
-    endpoint_report::{AgentUpdate, EndKind, EndpointInfo, Reserve, Resync, TaskEnd},
+    endpoint_report::{
+        AgentUpdate, EndKind, EndpointCrash, EndpointInfo, Reserve, Resync, TaskEnd,
+    },
     exchange::{
         Acknowledgement, AgentHello, Confirm, Confirmation, Fence, FenceReply, Finished, JobReply,
         KeyHash, KnownAgents, KnownRun, Lookup, LookupReply, RecordState, Reply, RunRecords,
