--- a/crates/decisions/tests/crashes.rs
+++ b/crates/decisions/tests/crashes.rs
@@ -26,6 +26,9 @@
 /// Time until which a crash has to be known: the lease of the runs and two ticks.
 const KNOWN_WITHIN_MS: u64 = 1_500;
 
+/// Length of the lease on a clock that is 2% slow, and an interval of two ticks.
+const LEASE_MS: u64 = 663 + 100;
+
 fn room(tasks: u32) -> Resources {
     Resources {
         cpu_millis: tasks * 1_000,
@@ -393,3 +396,20 @@
     let failed = (DEADLY.into(), JobOutcome::Failed);
     assert_eq!(site.answers, [failed.clone(), failed]);
 }
+
+#[rstest]
+fn a_lease_is_renewed_at_an_endpoint_that_refuses_connections() {
+    let mut agent = Agent::new();
+    agent.link(0, 1);
+    agent.start(1, assignment(1, "00000000000000a1", 2));
+    let mut crash_known_at = None;
+    for millis in (10..KNOWN_WITHIN_MS).step_by(10) {
+        let mut actions = agent.answer_lists(millis, &REFUSED);
+        actions.extend(agent.handle(millis, GuardInput::Tick));
+        if crash_known_at.is_none() && !crashes(&actions).is_empty() {
+            crash_known_at = Some(millis);
+        }
+    }
+    let known_at = crash_known_at.expect("the crash is known");
+    assert!(known_at <= LEASE_MS, "the crash is known after {known_at} ms");
+}
