Run a task alone after an endpoint crashed under it

Cause: every task at an endpoint that crashes is suspect. A sound one that stood beside two deadly tasks failed, and long ones meet several. Change: the entry marks assignments of a job with a suspect task; the agent lets the endpoint empty for up to 150 ms and starts nothing of another job beside it. Old agents ignore the mark. Measured: a_sound_job_is_given_up_after_it_stood_beside_two_deadly_ones: failed before, not answered after; a_task_that_may_crash_the_endpoint_starts_beside_others failed before. placement.rs, guard.rs and overload.rs pass.

--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -102,6 +102,7 @@
                 },
                 task,
                 assigned,
+                is_alone: assignment.alone,
                 priority: assignment.priority,
                 payload: assignment.payload.clone(),
                 phase: Phase::Waiting(start_by),
@@ -260,7 +261,11 @@
             0
         };
         ReportedRoom {
-            free: endpoint.info.total.minus(self.runs.claimed_room()),
+            free: if self.runs.has_alone() {
+                Resources::default()
+            } else {
+                endpoint.info.total.minus(self.runs.claimed_room())
+            },
             reserve: self.contention.reserve(now),
             most_tasks,
             slowness: endpoint.health.slowness(),
--- a/crates/decisions/src/guard/run.rs
+++ b/crates/decisions/src/guard/run.rs
@@ -44,6 +44,8 @@
     pub(crate) key: RunKey,
     pub(crate) task: TaskId,
     pub(crate) assigned: AssignedTask,
+    /// Whether the run may share the endpoint only with runs of its job.
+    pub(crate) is_alone: bool,
     /// Priority of the job's route; 0 is the most urgent one.
     pub(crate) priority: u32,
     pub(crate) payload: Arc<str>,
--- a/crates/decisions/src/guard/runs.rs
+++ b/crates/decisions/src/guard/runs.rs
@@ -101,6 +101,27 @@
         self.sum_needs(|_| true)
     }
 
+    /// Whether a run that shares the endpoint with no other job waits or is there.
+    pub(crate) fn has_alone(&self) -> bool {
+        self.by_key.values().any(|run| run.is_alone)
+    }
+
+    /// Whether a waiting run may start beside those at the endpoint. While a run that
+    /// needs the endpoint alone waits, no other starts, so that the endpoint empties.
+    pub(crate) fn may_start_beside_others(&self, key: &RunKey) -> bool {
+        let Some(run) = self.by_key.get(key) else {
+            return false;
+        };
+        let mut others = self.iter().filter(|other| other.task.job != run.task.job);
+        others.all(|other| {
+            if other.is_at_endpoint() {
+                !other.is_alone && !run.is_alone
+            } else {
+                !other.is_alone || run.is_alone
+            }
+        })
+    }
+
     /// Returns the tasks of the runs at the endpoint, but for those that were there
     /// at an earlier crash.
     pub(crate) fn tasks_at_endpoint(&self) -> Vec<TaskId> {
--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -111,6 +111,9 @@
         if !free.fits(need) {
             self.contention.record(now, priority, need);
         }
+        if !self.runs.may_start_beside_others(key) {
+            return None;
+        }
         let has_room = reserve.usable(free, priority).fits(need);
         (has_room && !self.runs.has_other_run(&task, key)).then_some(need)
     }
--- a/crates/decisions/src/placement/candidates.rs
+++ b/crates/decisions/src/placement/candidates.rs
@@ -31,6 +31,8 @@
     agent: &'a AgentId,
     info: &'a EndpointInfo,
     free: Resources,
+    /// Free room before the present job was placed.
+    reported_free: Resources,
     reserve: Reserve,
     most_tasks: u16,
     slowness: f32,
@@ -71,6 +73,7 @@
                 agent,
                 info,
                 free,
+                reported_free: free,
                 reserve: view.reserve(),
                 most_tasks,
                 slowness: view.slowness(),
@@ -100,8 +103,9 @@
 
     /// Reserves room for the ready tasks of one job; tasks that find no room are
     /// left out. A job that found no room before is tried only at endpoints that
-    /// have changed.
-    pub(crate) fn choose(&mut self, job: &HeldJob, only_changed: bool) -> Choice {
+    /// have changed. Tasks that run beside no other job (`is_alone`) get whole
+    /// endpoints, the emptiest first.
+    pub(crate) fn choose(&mut self, job: &HeldJob, only_changed: bool, is_alone: bool) -> Choice {
         let mut chosen = Choice::new();
         let rack = job.job.steps.iter().find_map(|step| step.rack.as_ref());
         let mut fitting: Vec<&mut Candidate> = self
@@ -121,6 +125,11 @@
         for candidate in &mut fitting {
             candidate.cost = candidate.cost(rack, &job.job.id);
             candidate.half = candidate.usable(job).half();
+            candidate.reported_free = candidate.free;
+            if is_alone {
+                candidate.free = candidate.info.total;
+                candidate.half = candidate.info.total;
+            }
         }
         fitting.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         for task in job.ready_tasks() {
@@ -143,6 +152,15 @@
                     .push(task.at);
             }
         }
+        if is_alone {
+            for candidate in &mut self.candidates {
+                candidate.free = if chosen.contains_key(candidate.agent) {
+                    Resources::default()
+                } else {
+                    candidate.reported_free
+                };
+            }
+        }
         self.candidates
             .retain(|c| c.most_tasks > 0 && c.free.cpu_millis > 0);
         chosen
--- a/crates/decisions/src/placement/placing.rs
+++ b/crates/decisions/src/placement/placing.rs
@@ -21,6 +21,10 @@
 /// slots in this time.
 const MAX_WAIT_AT_AGENT: Duration = Duration::from_millis(30);
 
+/// Counterpart of [`MAX_WAIT_AT_AGENT`] for tasks that must not run beside others:
+/// most runs that they have to wait for end within this time.
+const MAX_WAIT_FOR_EMPTY_ENDPOINT: Duration = Duration::from_millis(150);
+
 /// Shortest time for which assigned tasks may wait at an agent: five round trips
 /// between availability zones.
 const MIN_WAIT_AT_AGENT: Duration = Duration::from_millis(10);
@@ -80,7 +84,8 @@
                 break;
             }
             if let Some(job) = self.jobs.get(caller) {
-                let choice = candidates.choose(job, !has_changed(caller));
+                let is_alone = self.crashes.most_under(&job.job.id) > 0;
+                let choice = candidates.choose(job, !has_changed(caller), is_alone);
                 choices.push((*caller, choice));
             }
         }
@@ -98,6 +103,7 @@
         let Some(job) = self.jobs.get_mut(&caller) else {
             return;
         };
+        let is_alone = self.crashes.most_under(&job.job.id) > 0;
         self.next_assignment += 1;
         self.by_assignment.insert(id, caller);
         let mut room = Resources::default();
@@ -115,11 +121,16 @@
                 task.state = TaskState::Assigned(agent.clone(), id);
             }
         }
+        let longest_wait = if is_alone {
+            MAX_WAIT_FOR_EMPTY_ENDPOINT
+        } else {
+            MAX_WAIT_AT_AGENT
+        };
         let start_by = job.start_by();
         let slack = if start_by > now {
             start_by - now
         } else {
-            MAX_WAIT_AT_AGENT
+            longest_wait
         };
         // The rest of a job that has begun is as urgent as any: its other tasks hold
         // room for nothing until it ends.
@@ -133,8 +144,9 @@
             job: job.job.id.clone(),
             payload: job.job.payload.clone(),
             after_run: job.highest_run,
-            start_within: slack.clamp(MIN_WAIT_AT_AGENT, MAX_WAIT_AT_AGENT),
+            start_within: slack.clamp(MIN_WAIT_AT_AGENT, longest_wait),
             priority,
+            alone: is_alone,
             tasks: assigned,
         };
         job.placed_at.get_or_insert(now);
@@ -150,6 +162,9 @@
                 free_cpu_millis: view.free().cpu_millis,
                 report_age_ms: millis(view.age(now)),
             };
+            if is_alone && let Some(info) = &view.info {
+                room = info.total;
+            }
             view.claim(id, room, u16::try_from(tasks.len()).unwrap_or(u16::MAX));
             self.record(event);
         }
--- a/crates/decisions/tests/crashes.rs
+++ b/crates/decisions/tests/crashes.rs
@@ -70,6 +70,7 @@
         payload: "payload".into(),
         after_run: 0,
         start_within: Duration::from_millis(100),
+        alone: false,
         tasks: (0..tasks).map(task).collect(),
     }
 }
@@ -411,5 +412,57 @@
         }
     }
     let known_at = crash_known_at.expect("the crash is known");
-    assert!(known_at <= LEASE_MS, "the crash is known after {known_at} ms");
+    assert!(
+        known_at <= LEASE_MS,
+        "the crash is known after {known_at} ms"
+    );
+}
+
+#[rstest]
+fn a_sound_job_is_given_up_after_it_stood_beside_two_deadly_ones() {
+    const SOUND: &str = "00000000000000a1";
+    let mut site = Site::new(3);
+    let deadly = ["00000000000000d1", "00000000000000d2", "00000000000000d3"];
+    site.deadly = deadly.iter().map(|job| (*job).into()).collect();
+    site.submit(20, SOUND, 8);
+    for (number, job) in (0..).zip(deadly) {
+        let at = 100 + 1_000 * number;
+        site.submit(at, job, 1);
+        site.run(at, at + 1_000);
+    }
+    let sound = site.answers.iter().find(|(job, _)| **job == *SOUND);
+    assert_eq!(sound, None, "answers: {:?}", site.answers);
+}
+
+/// Returns the jobs of the runs that an agent starts.
+fn started(actions: &[GuardAction]) -> Vec<&str> {
+    let starts = actions.iter().filter_map(|action| match action {
+        GuardAction::Start(order) => Some(&*order.task.job),
+        _ => None,
+    });
+    starts.collect()
+}
+
+#[rstest]
+fn a_task_that_may_crash_the_endpoint_starts_beside_others() {
+    let mut agent = Agent::new();
+    agent.link(0, 1);
+    agent.start(1, assignment(1, "00000000000000a1", 1));
+    let suspect = Assignment {
+        alone: true,
+        ..assignment(2, "00000000000000d1", 2)
+    };
+    let other = assignment(3, "00000000000000a3", 1);
+    let assign = |assignment| GuardInput::Assign("entry".into(), assignment);
+    let actions = agent.handle(2, assign(suspect));
+    assert_eq!(started(&actions), [""; 0], "beside a run of another job");
+    let actions = agent.handle(3, assign(other));
+    assert_eq!(started(&actions), [""; 0], "before the suspect that waits");
+    // The lists were requested after the progress of the run, which has ended.
+    let mut actions = Vec::new();
+    for millis in [60, 62] {
+        agent.handle(millis, GuardInput::Tick);
+        actions.extend(agent.answer_lists(millis, &Answer::Done(CLOCK, ListReply::default())));
+    }
+    assert_eq!(started(&actions), ["00000000000000d1"; 2]);
 }
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -60,6 +60,7 @@
         payload: "payload".into(),
         after_run: 0,
         start_within: Duration::from_millis(100),
+        alone: false,
         tasks: vec![task],
     }
 }
--- a/crates/types/src/assignment.rs
+++ b/crates/types/src/assignment.rs
@@ -59,6 +59,10 @@
     /// Priority of the job's route; 0 is the most urgent one.
     #[serde(default)]
     pub priority: u32,
+    /// Whether the tasks run beside no task of another job, since an endpoint crashed
+    /// under one of them.
+    #[serde(default)]
+    pub alone: bool,
     /// The tasks to start.
     pub tasks: Vec<AssignedTask>,
 }
