--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -186,7 +186,7 @@
                 endpoint.clock.update(now, *clock);
                 endpoint.record_contact(now);
             }
-            Answer::Refused(None, OrderFault::Unreachable) => endpoint.is_unreachable = true,
+            Answer::Refused(None, OrderFault::Unreachable) => endpoint.record_unreachable(),
             Answer::Refused(None, _) | Answer::Unknown => {}
         }
         true
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -27,6 +27,17 @@
     }
 }
 
+/// What is known of the process that an endpoint announced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ProcessState {
+    /// The process answers, or is only silent.
+    Present,
+    /// No connection was made for the last order.
+    Unreachable,
+    /// A later incarnation answers that has not announced itself yet.
+    Superseded,
+}
+
 /// State that an agent keeps for its endpoint.
 #[derive(Debug)]
 pub(crate) struct EndpointState {
@@ -36,10 +47,7 @@
     pub(crate) sequence: u64,
     pub(crate) health: EndpointHealth,
     pub(crate) is_leaving: bool,
-    /// Whether a later incarnation answers that has not announced itself yet.
-    pub(crate) is_superseded: bool,
-    /// Whether the last order was not sent for want of a connection.
-    pub(crate) is_unreachable: bool,
+    pub(crate) process: ProcessState,
     /// Tasks whose lease ended while the endpoint was silent.
     pub(crate) lapsed: Vec<TaskId>,
     /// Whether the endpoint is known to run only tasks that this agent started.
@@ -70,8 +78,7 @@
             sequence: announcement.sequence,
             health: EndpointHealth::default(),
             is_leaving: announcement.leaving,
-            is_superseded: false,
-            is_unreachable: false,
+            process: ProcessState::Present,
             lapsed: Vec::new(),
             is_clean: false,
             last_end: 0,
@@ -87,14 +94,23 @@
     /// Records that the endpoint answered, so that its process is there.
     pub(crate) fn record_contact(&mut self, now: Instant) {
         self.last_contact_at = now;
-        self.is_unreachable = false;
+        if self.process == ProcessState::Unreachable {
+            self.process = ProcessState::Present;
+        }
         self.lapsed.clear();
     }
 
+    /// Records that no connection was made for an order.
+    pub(crate) fn record_unreachable(&mut self) {
+        if self.process == ProcessState::Present {
+            self.process = ProcessState::Unreachable;
+        }
+    }
+
     /// Whether the endpoint's process has ended: none accepts connections at its
     /// address, or a later incarnation does.
     pub(crate) fn has_ended(&self) -> bool {
-        self.is_unreachable || self.is_superseded
+        self.process != ProcessState::Present
     }
 
     /// Whether the endpoint answered within `ENDPOINT_SILENCE_LIMIT`.
@@ -132,6 +148,9 @@
 
     /// Whether tasks may start at the endpoint.
     pub(crate) fn takes_work(&self, now: Instant) -> bool {
-        self.is_clean && !self.is_leaving && !self.is_superseded && self.is_responsive(now)
+        self.is_clean
+            && !self.is_leaving
+            && self.process != ProcessState::Superseded
+            && self.is_responsive(now)
     }
 }
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -4,6 +4,7 @@
     crate::{
         guard::{
             Answer, GuardAction, GuardMachine, ListOrder, ListReply, ListedEnd, OrderFault, RunEnd,
+            endpoint_state::ProcessState,
             run::{Phase, Run},
         },
         timing::{
@@ -37,7 +38,9 @@
                 self.apply_list(now, order.sent_at, &reply);
             }
             Answer::Refused(_, OrderFault::StaleToken) => self.token += NUMBER_STEP,
-            Answer::Refused(_, OrderFault::OtherIncarnation) if !endpoint.is_superseded => {
+            Answer::Refused(_, OrderFault::OtherIncarnation)
+                if endpoint.process != ProcessState::Superseded =>
+            {
                 self.fence_late_orders(now);
             }
             Answer::Refused(..) => endpoint.lists_paused_until = Some(now + REFUSED_PAUSE),
@@ -55,7 +58,7 @@
         let Some(endpoint) = &mut self.endpoint else {
             return;
         };
-        endpoint.is_superseded = true;
+        endpoint.process = ProcessState::Superseded;
         endpoint.lists_paused_until = Some(now + REFUSED_PAUSE);
         self.token += NUMBER_STEP;
         self.return_waiting(now);
@@ -211,7 +214,7 @@
         endpoint.lists.last_sent_at = Some(now);
         // A lease that is not renewed ends soon, and so does the wait of the runs that
         // were lost with the endpoint's process.
-        let is_there = endpoint.is_responsive(now) && !endpoint.is_unreachable;
+        let is_there = endpoint.is_responsive(now) && endpoint.process != ProcessState::Unreachable;
         let until = (holds_runs && is_there).then(|| endpoint.clock.extend_lease(now, RUN_LEASE));
         self.actions.push(GuardAction::List(ListOrder {
             endpoint: endpoint.info.endpoint.clone(),
