Report the free room of an endpoint whose capacity changed

Cause: a heartbeat with another capacity told entries the new total but not the free room, until a task began or ended there; entries assigned tasks that did not fit, or left room unused. The agent itself starts nothing beyond the new capacity: what is being stopped counts until its end is listed (tested, it did before). Change: a changed endpoint makes the next report to each entry due. Measured: an_entry_does_not_learn_of_changed_room: no report before, both cases pass after; a_start_exceeds_the_room_of_an_endpoint_that_shrank passed before.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -46,6 +46,7 @@
             self.mark_stale();
         }
         if is_changed {
+            self.mark_stale();
             self.send_endpoint_info();
         }
     }
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -3,10 +3,11 @@
 use {
     chestnutrun_decisions::guard::{
         Announcement, Answer, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage,
-        ListOrder, ListReply, ListedEnd, OrderFault, RunEnd, StartOrder,
+        ListOrder, ListReply, ListedEnd, ListedRun, OrderFault, RunEnd, StartOrder,
     },
     chestnutrun_types::{
-        AssignedTask, Assignment, EndpointInfo, EntryId, Now, Resources, Revocation, TaskPosition,
+        AssignedTask, Assignment, EndpointInfo, EntryId, Now, Resources, Revocation, TaskId,
+        TaskPosition,
     },
     rstest::rstest,
     std::time::{Duration, Instant, SystemTime},
@@ -494,3 +495,133 @@
     let is_start = |action: &GuardAction| matches!(action, GuardAction::Start(_));
     assert!(!actions.iter().any(is_start));
 }
+
+/// Returns the runs that are started.
+fn starts(actions: &[GuardAction]) -> Vec<StartOrder> {
+    let starts = actions.iter().filter_map(|action| match action {
+        GuardAction::Start(order) => Some(order.clone()),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// Announces that the endpoint has room for `tasks` tasks.
+fn resized(tasks: u32, sequence: u64) -> GuardInput {
+    let mut resized = announcement();
+    resized.info.total.cpu_millis = tasks * 1_000;
+    resized.sequence = sequence;
+    GuardInput::Announced(resized)
+}
+
+/// Creates a guard that runs the tasks of assignments 1 to `count`; returns the
+/// numbers of the runs.
+fn guard_with_runs(begin: Instant, count: u64) -> (GuardMachine, Vec<u64>) {
+    let mut guard = usable_guard(begin);
+    let mut runs = Vec::new();
+    for id in 1..=count {
+        let assigned = assignment(id, &format!("{id:016x}"));
+        let actions = guard.handle(
+            later(begin, 0),
+            GuardInput::Assign("entry".into(), assigned),
+        );
+        let start = starts(&actions).remove(0);
+        let done = Answer::Done(Duration::from_secs(1), ());
+        guard.handle(later(begin, 1), GuardInput::Started(1, start.run, done));
+        runs.push(start.run);
+    }
+    (guard, runs)
+}
+
+/// Returns a run as an endpoint lists it.
+fn listed(run: u64, id: u64) -> ListedRun {
+    ListedRun {
+        task: TaskId {
+            job: format!("{id:016x}").into(),
+            at: TaskPosition { step: 0, index: 0 },
+        },
+        run,
+        percent: 1,
+    }
+}
+
+fn list_sent_at(now: Now) -> ListOrder {
+    ListOrder {
+        endpoint: "endpoint".into(),
+        incarnation: 1,
+        until: None,
+        last_processed_end: 0,
+        wait: Duration::ZERO,
+        token: 1,
+        sent_at: now.instant,
+        answer_by: now.instant + Duration::from_millis(200),
+    }
+}
+
+#[rstest]
+fn a_start_exceeds_the_room_of_an_endpoint_that_shrank() {
+    let begin = Instant::now();
+    let now = |millis| later(begin, millis);
+    let (mut guard, runs) = guard_with_runs(begin, 4);
+    let stop = guard.handle(now(2), resized(3, 2));
+    let stops = stop.iter().filter(|a| matches!(a, GuardAction::Stop(_)));
+    assert_eq!(stops.count(), 0, "runs that no longer fit go on");
+    let waiting = GuardInput::Assign("entry".into(), assignment(9, "00000000000000a9"));
+    assert_eq!(
+        starts(&guard.handle(now(3), waiting)),
+        [],
+        "4 of 3 are used"
+    );
+    // Two runs are stopped; their room is free only once their ends are listed.
+    let assignments = vec![1, 2];
+    let revoked = GuardInput::Revoke("entry".into(), Revocation { assignments });
+    assert_eq!(
+        starts(&guard.handle(now(4), revoked)),
+        [],
+        "stops take time"
+    );
+    let done = || Answer::Done(Duration::from_secs(1), ());
+    guard.handle(now(5), GuardInput::Stopped(1, runs[0], done()));
+    let actions = guard.handle(now(5), GuardInput::Stopped(1, runs[1], done()));
+    assert_eq!(starts(&actions), [], "the stops are answered");
+    let reply = ListReply {
+        running: vec![listed(runs[2], 3), listed(runs[3], 4)],
+        ended: Vec::new(),
+    };
+    let order = list_sent_at(now(6));
+    let answer = Answer::Done(Duration::from_secs(1), reply);
+    let actions = guard.handle(now(7), GuardInput::Listed(1, order, answer));
+    assert_eq!(starts(&actions).len(), 1, "2 of 3 are used");
+    let grown = guard.handle(now(8), resized(8, 3));
+    assert_eq!(starts(&grown), [], "no other task waits");
+    let more = GuardInput::Assign("entry".into(), assignment(10, "00000000000000b1"));
+    assert_eq!(
+        starts(&guard.handle(now(9), more)).len(),
+        1,
+        "3 of 8 are used"
+    );
+}
+
+#[rstest]
+#[case::shrinks(5)]
+#[case::grows(20)]
+fn an_entry_does_not_learn_of_changed_room(#[case] tasks: u32) {
+    let begin = Instant::now();
+    let (mut guard, runs) = guard_with_runs(begin, 4);
+    // The longest pause between two updates is 250 ms.
+    guard.handle(later(begin, 300), GuardInput::Tick);
+    let running = (1..).zip(&runs).map(|(id, run)| listed(*run, id));
+    let reply = ListReply {
+        running: running.collect(),
+        ended: Vec::new(),
+    };
+    let answer = Answer::Done(Duration::from_secs(1), reply);
+    let order = list_sent_at(later(begin, 299));
+    guard.handle(later(begin, 300), GuardInput::Listed(1, order, answer));
+    let mut actions = guard.handle(later(begin, 310), resized(tasks, 2));
+    actions.extend(guard.handle(later(begin, 570), GuardInput::Tick));
+    let mut free = actions.iter().filter_map(|action| match action {
+        GuardAction::Send(_, GuardMessage::Update(update)) => Some(update.free.cpu_millis),
+        _ => None,
+    });
+    assert_eq!(free.next_back(), Some((tasks - 4) * 1_000));
+}
