Test messages of processes before and after a new field

Cause: agents report crashes, and entries mark assignments, in fields that a process of the earlier build neither sends nor knows. Change: tests of the codec.

--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -2,10 +2,25 @@
 
 use {
     chestnutrun_protocol::{CodecError, MAX_FRAME_BYTES, Message, decode, encode},
-    chestnutrun_types::{Confirm, JobRef},
+    chestnutrun_types::{AgentUpdate, Assignment, Confirm, JobRef, Resync},
+    ciborium::Value,
     rstest::rstest,
+    std::time::Duration,
 };
 
+fn assignment() -> Assignment {
+    Assignment {
+        id: 1,
+        job: "00000000000000a1".into(),
+        payload: "payload".into(),
+        after_run: 0,
+        start_within: Duration::from_millis(30),
+        priority: 0,
+        alone: false,
+        tasks: Vec::new(),
+    }
+}
+
 #[rstest]
 #[case::confirm(Message::Confirm(Confirm { nonce: 7, leased: Some(3) }))]
 #[case::ask(Message::Ask(JobRef { contract: "c".into(), key: "k".into() }))]
@@ -27,3 +42,33 @@
     let buf = vec![0; MAX_FRAME_BYTES + 1];
     assert!(matches!(decode(&buf), Err(CodecError::TooLong(_))));
 }
+
+/// A field that an earlier process does not send.
+#[rstest]
+#[case::update(Message::Update(AgentUpdate::default()), "crashes")]
+#[case::resync(Message::Resync(Resync::default()), "crashes")]
+#[case::assignment(Message::Assign(assignment()), "alone")]
+fn a_message_without_a_later_field_is_refused(#[case] message: Message, #[case] later: &str) {
+    let mut value = Value::serialized(&message).expect("the message can be encoded");
+    let kinds = value.as_map_mut().expect("a message is a map");
+    let fields = kinds[0].1.as_map_mut().expect("its body is a map");
+    let count = fields.len();
+    fields.retain(|(name, _)| name.as_text() != Some(later));
+    assert_eq!(fields.len() + 1, count, "the message has the field");
+    let mut buf = Vec::new();
+    ciborium::into_writer(&value, &mut buf).expect("the value can be encoded");
+    assert_eq!(decode(&buf).expect("the frame is a valid message"), message);
+}
+
+/// A field that an earlier process does not know.
+#[rstest]
+fn a_message_with_an_unknown_field_is_refused() {
+    let message = Message::Update(AgentUpdate::default());
+    let mut value = Value::serialized(&message).expect("the message can be encoded");
+    let kinds = value.as_map_mut().expect("a message is a map");
+    let fields = kinds[0].1.as_map_mut().expect("its body is a map");
+    fields.push((Value::from("later"), Value::from(1)));
+    let mut buf = Vec::new();
+    ciborium::into_writer(&value, &mut buf).expect("the value can be encoded");
+    assert_eq!(decode(&buf).expect("the frame is a valid message"), message);
+}
