Explain a job that was given up after crashes

Cause: explain would have said that a task failed too often, with no failed run. Change: the sentence names the crashes. Measured: a_job_given_up_after_crashes_is_said_to_have_failing_tasks failed before (the same assertion) and passes.

--- a/crates/observe/src/job_history.rs
+++ b/crates/observe/src/job_history.rs
@@ -146,7 +146,7 @@
             Some(("refused-never-fits", _)) => {
                 "no endpoint is large enough and has the label that a task requires".to_owned()
             }
-            Some(("failed", _)) => format!("a task failed too often: {}", self.describe_failures()),
+            Some(("failed", _)) => self.describe_failed_job(),
             Some((_, Some(wait))) if self.has_failures() => {
                 format!("first placed after {wait} ms; {}", self.describe_failures())
             }
@@ -155,6 +155,18 @@
         }
     }
 
+    /// Describes why a job was answered as failed.
+    fn describe_failed_job(&self) -> String {
+        let crashes = self.lines.iter().find_map(|line| match line.event {
+            DecisionEvent::JobGivenUp { crashes, .. } => Some(crashes),
+            _ => None,
+        });
+        crashes.map_or_else(
+            || format!("a task failed too often: {}", self.describe_failures()),
+            |crashes| format!("{crashes} endpoints crashed while one of its tasks was there"),
+        )
+    }
+
     /// Describes why a job has no answer in the log.
     fn describe_missing_answer(&self) -> String {
         let is_entry_lost = self.lines.iter().any(|line| {
