--- a/crates/decisions/src/guard/run.rs
+++ b/crates/decisions/src/guard/run.rs
@@ -44,6 +44,8 @@
     pub(crate) key: RunKey,
     pub(crate) task: TaskId,
     pub(crate) assigned: AssignedTask,
+    /// Whether the run may share the endpoint only with runs of its job.
+    pub(crate) is_alone: bool,
     /// Priority of the job's route; 0 is the most urgent one.
     pub(crate) priority: u32,
     pub(crate) payload: Arc<str>,
@@ -61,6 +63,9 @@
     pub(crate) stop_sent_at: Option<Instant>,
     /// When a stop is sent again that was refused or whose connection broke.
     pub(crate) resend_stop_at: Option<Instant>,
+    /// Whether the endpoint crashed while the run was there; the run may still be
+    /// stopped at the next incarnation.
+    pub(crate) has_crashed: bool,
     /// Kind of end to report once the run is no longer listed.
     pub(crate) end_kind: EndKind,
 }
--- a/crates/decisions/src/placement/mod.rs
+++ b/crates/decisions/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod cancelled_jobs;
 mod candidates;
 mod changes;
+mod crashes;
 mod dispatcher;
 mod endpoint_view;
 mod held_job;
--- a/crates/decisions/tests/repeated_submissions.rs
+++ b/crates/decisions/tests/repeated_submissions.rs
@@ -111,6 +111,7 @@
             slowness: 1.0,
             last_assignment: u64::MAX,
             ends,
+            crashes: Vec::new(),
         };
         self.handle(at, DispatchInput::Update(AGENT.into(), update))
     }
--- a/crates/observe/tests/logs_page.rs
+++ b/crates/observe/tests/logs_page.rs
@@ -64,6 +64,10 @@
             at_agents: 0,
             returned: 0,
         },
+        DecisionEvent::JobGivenUp {
+            job: "j".into(),
+            crashes: 2,
+        },
         DecisionEvent::CallerDisconnected {
             job: "j".into(),
             took_ms: 1,
@@ -129,6 +133,11 @@
             incarnation: 1,
             news: "usable".into(),
         },
+        DecisionEvent::EndpointCrashed {
+            endpoint: "e".into(),
+            incarnation: 1,
+            at_work: Vec::new(),
+        },
         DecisionEvent::EntryLost {
             entry: "e".into(),
             tasks: 0,
--- a/crates/types/src/decision_event.rs
+++ b/crates/types/src/decision_event.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AgentId, AssignmentId, EndKind, EndpointId, EntryId, Incarnation, JobId, Revision, RouteId,
-        RoutingVersion, RunNumber, ServiceId, TaskPosition,
+        RoutingVersion, RunNumber, ServiceId, TaskId, TaskPosition,
     },
     serde::{Deserialize, Serialize},
     std::borrow::Cow,
@@ -98,6 +98,13 @@
         /// Number of times that an agent returned a task that did not complete.
         returned: u32,
     },
+    /// An entry gave up a job, since endpoints crashed under one of its tasks.
+    JobGivenUp {
+        /// The job.
+        job: JobId,
+        /// Number of the crashes.
+        crashes: usize,
+    },
     /// An entry has no route for a request.
     RouteNotFound {
         /// Host of the request.
@@ -211,6 +218,15 @@
         /// The change, such as `announced`, `usable` or `silent`.
         news: Cow<'static, str>,
     },
+    /// An agent learned that its endpoint crashed.
+    EndpointCrashed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Number of the endpoint's run.
+        incarnation: Incarnation,
+        /// Tasks that were at the endpoint.
+        at_work: Vec<TaskId>,
+    },
     /// An agent considers an entry dead and stops the tasks that it assigned.
     EntryLost {
         /// The entry.
@@ -278,6 +294,7 @@
             | Self::TasksPlaced { job, .. }
             | Self::TaskReturned { job, .. }
             | Self::JobAnswered { job, .. }
+            | Self::JobGivenUp { job, .. }
             | Self::CallerDisconnected { job, .. }
             | Self::TaskStarted { job, .. }
             | Self::StartRefused { job, .. }
@@ -296,6 +313,7 @@
             Self::TasksPlaced { .. } => "tasks-placed",
             Self::TaskReturned { .. } => "task-returned",
             Self::JobAnswered { .. } => "job-answered",
+            Self::JobGivenUp { .. } => "job-given-up",
             Self::RouteNotFound { .. } => "route-not-found",
             Self::CallerDisconnected { .. } => "caller-gone",
             Self::AgentLinked { .. } => "agent-linked",
@@ -306,6 +324,7 @@
             Self::TaskStopped { .. } => "task-stopped",
             Self::TaskEnded { .. } => "task-ended",
             Self::EndpointLifecycle { .. } => "endpoint-news",
+            Self::EndpointCrashed { .. } => "endpoint-crashed",
             Self::EntryLost { .. } => "entry-lost",
             Self::RoutingInForce { .. } => "routing-in-force",
             Self::DirectoryAnswer { .. } => "directory-answer",
