Bound the declared run times that estimates use

Cause: a caller may declare any run time, such as 18446744073709551615s. The policy adds the estimates of a contract's started tasks up; the second such task made the sum overflow, and the process that owned the shard ended. Its caller submits again, and the next owner ends as well. Ruled out: the times of deadlines (5 min at most) and of waits (limited by the settings). Change: an estimate uses at most an hour of a declared run time.

--- a/crates/decisions/src/policy/run_times.rs
+++ b/crates/decisions/src/policy/run_times.rs
@@ -12,6 +12,10 @@
 /// Most kinds whose run times are kept.
 const MAX_KINDS: usize = 10_000;
 
+/// Longest declared run time that an estimate uses: far longer than tasks run. Policies
+/// add estimates up, and a caller may declare any length.
+const MAX_DECLARED_RUN_TIME: Duration = Duration::from_hours(1);
+
 /// A kind of task, within its contract.
 type KindKey = (ContractId, KindId);
 
@@ -42,7 +46,9 @@
         // Cloning two `Arc`s is cheaper than a borrowed key type.
         let key = (contract.clone(), kind.clone());
         let samples = self.kinds.get(&key);
-        samples.map_or(declared_run_time, |samples| samples.median)
+        samples.map_or(declared_run_time.min(MAX_DECLARED_RUN_TIME), |samples| {
+            samples.median
+        })
     }
 
     /// Adds a run time; returns the estimates before (none at first) and after.
--- a/crates/decisions/tests/policy.rs
+++ b/crates/decisions/tests/policy.rs
@@ -351,3 +351,20 @@
     }
     assert!((36..=44).contains(&of_a), "{of_a} of 80 slots");
 }
+
+/// A caller declared run times of 2^64 seconds. The sum of two of them stopped the
+/// entry that owned the shard, and the next owner after it.
+#[rstest]
+fn a_declared_run_time_beyond_all_bounds_stops_the_owner() {
+    let mut bench = Bench::new(8, &[open("a"), open("b")]);
+    for _ in 0..3 {
+        bench.submit("a", "letter", Duration::MAX);
+    }
+    let started = bench.start_all();
+    assert!(started.len() >= 2, "{started:?}");
+    for task in &started {
+        bench.end(task);
+    }
+    let check = bench.submit("b", "check", SHORT);
+    assert!(bench.start_all().contains(&check));
+}
