Take an assignment with a number too large without ending

Cause: an agent added the wait of an assignment to its clock and 1 to the earlier run number. A message with numbers near the largest ones ended the process with "overflow when adding duration to instant" or "attempt to add with overflow" (in a release build the run number wraps to 0), and the tasks of all entries with it. Run numbers reach an entry from other agents, so one of them is enough to spoil those of all agents. Change: a wait that no clock can hold counts as none, and run numbers beyond 2^53 are not adopted.

--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -11,11 +11,15 @@
     },
     chestnutrun_types::{
         AgentUpdate, Assignment, DecisionEvent, EndKind, EntryId, Incarnation, Reserve, Resources,
-        Resync, Revocation, TaskId, ZoneId,
+        Resync, Revocation, RunNumber, TaskId, ZoneId,
     },
     std::time::Instant,
 };
 
+/// Highest run number of an assignment that is used. Agents begin their numbers at a
+/// clock reading in milliseconds, so no run of theirs has a higher one.
+const MAX_RUN_NUMBER: RunNumber = 1 << 53;
+
 impl GuardMachine {
     pub(super) fn link_up(
         &mut self,
@@ -84,8 +88,11 @@
         };
         let incarnation = state.incarnation;
         state.last_assignment = state.last_assignment.max(assignment.id);
-        self.next_run = self.next_run.max(assignment.after_run + 1);
-        let start_by = now + assignment.start_within;
+        if assignment.after_run < MAX_RUN_NUMBER {
+            self.next_run = self.next_run.max(assignment.after_run + 1);
+        }
+        // A wait that no clock can hold counts as none.
+        let start_by = now.checked_add(assignment.start_within).unwrap_or(now);
         for assigned in assignment.tasks {
             let task = TaskId {
                 job: assignment.job.clone(),
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -493,3 +493,19 @@
     let is_start = |action: &GuardAction| matches!(action, GuardAction::Start(_));
     assert!(!actions.iter().any(is_start));
 }
+
+/// An assignment named a wait or an earlier start beyond all bounds. The agent stopped
+/// at the sum, and with it the tasks of all entries.
+#[rstest]
+#[case::wait(Assignment { start_within: Duration::MAX, ..assignment(1, "00000000000000a1") })]
+#[case::earlier_start(Assignment { after_run: u64::MAX, ..assignment(1, "00000000000000a1") })]
+fn an_assignment_with_a_number_too_large_stops_the_agent(#[case] odd: Assignment) {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let entry: EntryId = "entry".into();
+    guard.handle(later(begin, 1), GuardInput::Assign(entry.clone(), odd));
+    let next = GuardInput::Assign(entry, assignment(2, "00000000000000a2"));
+    let actions = guard.handle(later(begin, 2), next);
+    let is_next = |action: &GuardAction| matches!(action, GuardAction::Start(order) if *order.task.job == *"00000000000000a2");
+    assert!(actions.iter().any(is_next), "{actions:?}");
+}
