Read the table's rows around one that cannot be decoded

Cause: an answer of the table was decoded as a whole. One row of another writer (very deeply nested, a number too large, a port out of range, a field missing) made every read fail, at every entry: none learned of changes, and owners whose ownership was not confirmed gave it up. Change: each row is decoded by itself. A row that is not valid is left out and logged once while it stays. The ownership of a shard is the exception: a read that cannot decode it fails, since an entry that missed it could go on as the owner. The history of a contract that cannot be decoded still keeps that contract from being changed.

--- a/crates/table/src/http_configuration.rs
+++ b/crates/table/src/http_configuration.rs
@@ -139,6 +139,10 @@
 ) -> Result<History, TableError> {
     let key = rows::history_key(contract);
     let reply = read_rows(client, address, &key).await?;
+    if let Some(odd) = reply.odd.iter().find(|row| row.key.as_ref() == Some(&key)) {
+        let text = format!("row {key}: {}", odd.reason);
+        return Err(TableError::Answer(text));
+    }
     match reply.rows.into_iter().find(|row| row.key == key) {
         None => Ok(History {
             entries: Vec::new(),
--- a/crates/table/src/http_table.rs
+++ b/crates/table/src/http_table.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        Condition, ConflictReply, RowReply, RowsReply, Table, TableError, TableFuture, Transaction,
-        TransactionReply, rows,
+        Condition, ConflictReply, RowReply, Table, TableError, TableFuture, Transaction,
+        TransactionReply, decoded_rows::DecodedRows, odd_rows::OddRows, rows,
     },
     chestnutrun_types::{Revision, TableSnapshot, TableWrite, WriteResult},
     ntex::{client::Client, http::StatusCode, time::Millis},
@@ -22,6 +22,7 @@
 pub struct HttpTable {
     address: SocketAddr,
     client: Client,
+    odd_rows: OddRows,
 }
 
 impl fmt::Debug for HttpTable {
@@ -36,7 +37,11 @@
     /// Creates a client of the table at `address`.
     #[must_use]
     pub fn new(address: SocketAddr, client: Client) -> Self {
-        Self { address, client }
+        Self {
+            address,
+            client,
+            odd_rows: OddRows::default(),
+        }
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -51,7 +56,12 @@
 impl Table for HttpTable {
     fn read(&self) -> TableFuture<Result<TableSnapshot, TableError>> {
         let (client, address) = (self.client(), self.address());
-        Box::pin(async move { rows::snapshot(read_rows(&client, address, rows::SITE).await?) })
+        let odd_rows = self.odd_rows.clone();
+        Box::pin(async move {
+            let (snapshot, odd) = rows::snapshot(read_rows(&client, address, rows::SITE).await?)?;
+            odd_rows.report(odd);
+            Ok(snapshot)
+        })
     }
 
     fn write(&self, write: TableWrite, operation: String) -> TableFuture<WriteResult> {
@@ -99,7 +109,7 @@
     client: &Client,
     address: SocketAddr,
     prefix: &str,
-) -> Result<RowsReply, TableError> {
+) -> Result<DecodedRows, TableError> {
     let res = client
         .get(format!("http://{address}/rows?prefix={prefix}"))
         .timeout(ANSWER_TIMEOUT)
@@ -109,8 +119,7 @@
     if res.status() != StatusCode::OK {
         return Err(TableError::Status(res.status().as_u16()));
     }
-    let buf = read_body(&res).await?;
-    parse_json(&buf)
+    DecodedRows::parse(&read_body(&res).await?)
 }
 
 /// Result of a transaction.
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod change;
 mod configuration_store;
+mod decoded_rows;
 mod errors;
 mod http_configuration;
 mod http_table;
+mod odd_rows;
 mod rows;
 mod table;
 mod wire;
--- a/crates/table/src/rows.rs
+++ b/crates/table/src/rows.rs
@@ -1,8 +1,8 @@
 //! Conversion between the dispatcher's rows and the table's keys and values.
 
 use {
-    crate::{RowReply, RowsReply, TableError, Write},
-    chestnutrun_types::{Configuration, TableRow, TableSnapshot, Versioned},
+    crate::{RowReply, TableError, Write, decoded_rows::DecodedRows, odd_rows::OddRow},
+    chestnutrun_types::{Configuration, ShardId, TableRow, TableSnapshot, Versioned},
     serde::{Serialize, de::DeserializeOwned},
     serde_json::Value,
 };
@@ -48,16 +48,37 @@
 }
 
 /// Builds a snapshot from rows of the table; ignores rows whose keys have none of
-/// the dispatcher's prefixes.
-pub(crate) fn snapshot(reply: RowsReply) -> Result<TableSnapshot, TableError> {
+/// the dispatcher's prefixes. Returns the rows that are not valid as well.
+///
+/// # Errors
+/// Returns an error if the ownership of a shard is not valid: an entry that missed it
+/// could go on as the owner.
+pub(crate) fn snapshot(reply: DecodedRows) -> Result<(TableSnapshot, Vec<OddRow>), TableError> {
     let mut snapshot = TableSnapshot {
         revision: reply.revision,
         ..TableSnapshot::default()
     };
+    let mut odd = reply.odd;
     for row in reply.rows {
-        add_row(&mut snapshot, row)?;
+        let key = row.key.clone();
+        if let Err(error) = add_row(&mut snapshot, row) {
+            odd.push(OddRow {
+                key: Some(key),
+                reason: error.to_string(),
+            });
+        }
     }
-    Ok(snapshot)
+    match odd.iter().find(|row| is_ownership(row)) {
+        Some(OddRow { key, reason }) => Err(TableError::Answer(format!(
+            "row {key:?}, the ownership of a shard: {reason}"
+        ))),
+        None => Ok((snapshot, odd)),
+    }
+}
+
+fn is_ownership(row: &OddRow) -> bool {
+    let shard = row.key.as_ref().and_then(|key| key.strip_prefix(OWNER));
+    shard.is_some_and(|shard| shard.parse::<ShardId>().is_ok())
 }
 
 fn add_row(snapshot: &mut TableSnapshot, row: RowReply) -> Result<(), TableError> {
@@ -71,14 +92,14 @@
         let owner = Versioned { value, revision };
         snapshot.owners.insert(owner.value.shard, owner);
     } else if let Some(id) = row.key.strip_prefix(CONTRACT) {
-        raise_revision(&mut snapshot.configuration, revision);
         let contract = from_value(row.value)?;
+        raise_revision(&mut snapshot.configuration, revision);
         let configuration = &mut snapshot.configuration;
         configuration.contracts.insert(id.into(), contract);
         configuration.rows.contracts.insert(id.into(), revision);
     } else if let Some(endpoint) = row.key.strip_prefix(DRAIN) {
-        raise_revision(&mut snapshot.configuration, revision);
         let state = from_value(row.value)?;
+        raise_revision(&mut snapshot.configuration, revision);
         let configuration = &mut snapshot.configuration;
         configuration.drains.insert(endpoint.into(), state);
         let revisions = &mut configuration.rows.drains;
