Look at each earlier step of a job once

Cause: the list of steps that a step waits for may name one step many times; a body of the accepted size holds some 100,000 names. Each look for ready tasks compared every name with every task of the job. An entry that held such a job was busy for seconds as soon as its first step was done; other processes take it for lost after 600 ms, and its callers submit the job again elsewhere. Ruled out: the check of a submission, which only refuses later steps. Change: a held job keeps each earlier step once, with the range of its tasks.

--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -13,7 +13,7 @@
         AgentId, AssignmentId, BestEffortJob, DecisionEvent, Route, RunNumber, StepIndex, StepSpec,
         TaskPosition,
     },
-    std::{rc::Rc, sync::Arc, time::Instant},
+    std::{ops::Range, rc::Rc, sync::Arc, time::Instant},
 };
 
 /// A late job is placed together with jobs in time while at most one in this many
@@ -32,7 +32,9 @@
     /// How many runs or assignments of tasks ended without completion.
     pub(crate) returned: u32,
     pub(crate) objective: Objective,
+    /// The tasks, ordered by step.
     pub(crate) tasks: Vec<HeldTask>,
+    steps: Vec<HeldStep>,
     /// Whether some task may have run, even if it waits again.
     pub(crate) has_run: bool,
     /// Highest number of a start that agents reported; 0 for none.
@@ -42,7 +44,9 @@
 impl HeldJob {
     pub(crate) fn new(now: Instant, submission: Submission, objective: Objective) -> Self {
         let mut tasks = Vec::new();
+        let mut steps = Vec::with_capacity(submission.job.steps.len());
         for (step, spec) in (0..).zip(&submission.job.steps) {
+            steps.push(HeldStep::new(tasks.len(), spec));
             let of_step = (0..spec.tasks).map(|index| HeldTask::new(TaskPosition { step, index }));
             tasks.extend(of_step);
         }
@@ -55,6 +59,7 @@
             returned: 0,
             objective,
             tasks,
+            steps,
             has_run: false,
             highest_run: 0,
         }
@@ -143,16 +148,36 @@
     }
 
     fn is_ready(&self, task: &HeldTask) -> bool {
-        task.state == TaskState::Waiting
-            && self
-                .step(task.at.step)
-                .after
-                .iter()
-                .all(|step| self.is_step_done(*step))
+        let step = self.steps.get(usize::from(task.at.step));
+        let mut after = step.iter().flat_map(|step| &step.after);
+        task.state == TaskState::Waiting && after.all(|step| self.is_step_done(*step))
     }
 
     fn is_step_done(&self, step: StepIndex) -> bool {
-        let mut of_step = self.tasks.iter().filter(|task| task.at.step == step);
+        let step = self.steps.get(usize::from(step));
+        let tasks = step.and_then(|step| self.tasks.get(step.tasks.clone()));
+        let mut of_step = tasks.into_iter().flatten();
         of_step.all(|task| task.state == TaskState::Done)
     }
 }
+
+/// The tasks of one step, and the steps that it waits for.
+#[derive(Debug)]
+struct HeldStep {
+    /// Positions of the step's tasks in the job's list.
+    tasks: Range<usize>,
+    /// Steps that must be complete before this one starts, each of them once.
+    after: Vec<StepIndex>,
+}
+
+impl HeldStep {
+    fn new(first_task: usize, spec: &StepSpec) -> Self {
+        let mut after = spec.after.clone();
+        after.sort_unstable();
+        after.dedup();
+        Self {
+            tasks: first_task..first_task + usize::from(spec.tasks),
+            after,
+        }
+    }
+}
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -30,6 +30,9 @@
 /// something.
 const LATE: Duration = Duration::from_millis(150);
 
+/// Time without a message after which a process takes its peer for lost.
+const LINK_SILENCE_LIMIT: Duration = Duration::from_millis(600);
+
 /// A dispatcher with one linked agent.
 struct Entry {
     begin: Instant,
@@ -80,19 +83,20 @@
         tasks: u16,
         route: Route,
     ) -> Vec<DispatchAction> {
-        let step = StepSpec {
-            tasks,
-            need: room(1),
-            estimate: ESTIMATE,
-            after: Vec::new(),
-            requires: None,
-            rack: None,
-            most_per_endpoint: None,
-        };
+        self.submit_steps(after, caller, vec![step(tasks)], route)
+    }
+
+    fn submit_steps(
+        &mut self,
+        after: Duration,
+        caller: u64,
+        steps: Vec<StepSpec>,
+        route: Route,
+    ) -> Vec<DispatchAction> {
         let job = BestEffortJob {
             id: id(caller),
             payload: "payload".into(),
-            steps: vec![step],
+            steps,
         };
         let submission = Submission {
             caller,
@@ -117,6 +121,18 @@
     }
 }
 
+fn step(tasks: u16) -> StepSpec {
+    StepSpec {
+        tasks,
+        need: room(1),
+        estimate: ESTIMATE,
+        after: Vec::new(),
+        requires: None,
+        rack: None,
+        most_per_endpoint: None,
+    }
+}
+
 fn room(tasks: u32) -> Resources {
     Resources {
         cpu_millis: tasks * TASK_CPU,
@@ -254,3 +270,25 @@
     assert_eq!(placed.len(), 1);
     assert_eq!(assignments(entry.submit(ESTIMATE, 2, 1)).len(), 1);
 }
+
+/// A job named an earlier step thousands of times. Each look for tasks that are ready
+/// compared all of them with all tasks, and other processes took the entry for lost.
+#[rstest]
+fn a_step_that_waits_for_another_many_times_stalls_the_entry(mut entry: Entry) {
+    entry.update(Duration::ZERO, 10, Vec::new());
+    let first = step(1);
+    let second = StepSpec {
+        after: vec![0; 2_000],
+        ..step(499)
+    };
+    let begun = entry.submit_steps(Duration::ZERO, 1, vec![first, second], route());
+    let begun = assignments(begun).remove(0);
+    let begin = Instant::now();
+    let placed = assignments(entry.update(ESTIMATE, 10, ends(&begun, 0)));
+    assert!(
+        begin.elapsed() < LINK_SILENCE_LIMIT,
+        "{:?}",
+        begin.elapsed()
+    );
+    assert_eq!(placed[0].tasks.len(), 10);
+}
