Renew no lease for an entry whose proof of life ran out

Cause: an agent that was suspended, or delayed, handled an answered list order before its next tick, which is where it looks for entries that are lost. It then renewed the lease of all runs by 650 ms, also if every one of them was of an entry that had not been proven alive for more than 600 ms. If the stops that follow get lost, the lease is what ends these runs before the callers of a dead entry submit again after 1,300 ms. Ruled out: starts, which check the proof at the moment of each start. Change: a list order renews the lease only while the endpoint holds a run of an entry that is proven alive at that moment, in its present incarnation.

--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -7,8 +7,8 @@
             run::{Phase, Run},
         },
         timing::{
-            BROKEN_CONNECTION_PAUSE, IDLE_LONG_POLL_WAIT, IMMEDIATE_LIST_AFTER, LONG_POLL_WAIT,
-            NUMBER_STEP, ORDER_TIMEOUT, REFUSED_PAUSE, RUN_LEASE,
+            BROKEN_CONNECTION_PAUSE, ENTRY_PROOF_LIMIT, IDLE_LONG_POLL_WAIT, IMMEDIATE_LIST_AFTER,
+            LONG_POLL_WAIT, NUMBER_STEP, ORDER_TIMEOUT, REFUSED_PAUSE, RUN_LEASE,
         },
     },
     chestnutrun_types::{EndKind, Incarnation},
@@ -203,8 +203,13 @@
         }
     }
 
+    /// Sends a list order. It renews the lease while the endpoint runs a task of an entry
+    /// that is known to be alive now, whatever was known when the agent last looked.
     pub(super) fn send_list_order(&mut self, now: Instant, wait: Duration) {
-        let holds_runs = self.runs.iter().any(Run::is_at_endpoint);
+        let holds_runs = self
+            .runs
+            .iter()
+            .any(|run| run.is_at_endpoint() && self.is_of_proven_entry(now, run));
         let Some(endpoint) = &mut self.endpoint else {
             return;
         };
@@ -222,4 +227,11 @@
             answer_by: now + wait + ORDER_TIMEOUT,
         }));
     }
+
+    fn is_of_proven_entry(&self, now: Instant, run: &Run) -> bool {
+        let entry = self.entries.get(&run.key.entry);
+        entry.is_some_and(|entry| {
+            entry.incarnation == run.key.incarnation && entry.is_proven(now, ENTRY_PROOF_LIMIT)
+        })
+    }
 }
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -3,7 +3,7 @@
 use {
     chestnutrun_decisions::guard::{
         Announcement, Answer, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage,
-        ListOrder, ListReply, ListedEnd, OrderFault, RunEnd, StartOrder,
+        ListOrder, ListReply, ListedEnd, ListedRun, OrderFault, RunEnd, StartOrder,
     },
     chestnutrun_types::{
         AssignedTask, Assignment, EndpointInfo, EntryId, Now, Resources, Revocation, TaskPosition,
@@ -509,3 +509,38 @@
     let is_next = |action: &GuardAction| matches!(action, GuardAction::Start(order) if *order.task.job == *"00000000000000a2");
     assert!(actions.iter().any(is_next), "{actions:?}");
 }
+
+/// An agent was suspended, and the proof that an entry is alive ran out meanwhile. After
+/// it woke up, it acted on messages that had arrived before it looked at the clock.
+#[rstest]
+fn a_woken_agent_renews_leases_for_an_entry_whose_proof_ran_out() {
+    let begin = Instant::now();
+    let clock = Duration::from_secs(1);
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 0));
+    let started = GuardInput::Started(1, start.run, Answer::Done(clock, ()));
+    let mut polls = lists(guard.handle(later(begin, 1), started));
+    polls.extend(lists(guard.handle(later(begin, 60), GuardInput::Tick)));
+    let poll = polls.pop().expect("a list order is sent");
+    let running = ListedRun {
+        task: start.task,
+        run: start.run,
+        percent: 10,
+    };
+    let reply = ListReply {
+        running: vec![running],
+        ended: Vec::new(),
+    };
+    let woken = later(begin, 1_100);
+    let answer = Answer::Done(clock, reply);
+    let mut actions = guard.handle(woken, GuardInput::Listed(1, poll, answer));
+    let assigned = GuardInput::Assign("entry".into(), assignment(2, "00000000000000a2"));
+    actions.extend(guard.handle(woken, assigned));
+    for action in actions {
+        match action {
+            GuardAction::Start(order) => panic!("started {order:?}"),
+            GuardAction::List(order) => assert_eq!(order.until, None, "{order:?}"),
+            _ => {}
+        }
+    }
+}
