Give up a job only when a crash proves its task

Cause: two crashes gave a job up wherever its task ran. A crash that a cut-off endpoint reported late was counted after the task had been started beside others once more, so that a sound job failed without having run alone. A task in two runs counted twice at one crash; an endpoint taken for crashed while it could not be reached hid its real crash under the same incarnation. Change: two crashes give a job up if only its own tasks were at the endpoint at one of them, else three do. Crashes are told apart by their tasks as well, and each task counts once.

--- a/crates/decisions/src/crashes/crash_counts.rs
+++ b/crates/decisions/src/crashes/crash_counts.rs
@@ -2,19 +2,35 @@
 
 use {
     crate::crashes::CRASH_KEPT,
-    chestnutrun_types::{EndpointCrash, EndpointId, Incarnation, JobId, TaskId, TaskPosition},
-    indexmap::IndexMap,
+    chestnutrun_types::{EndpointCrash, JobId, TaskId, TaskPosition},
+    indexmap::{IndexMap, IndexSet},
     std::time::Instant,
 };
 
 /// Most crashes that an entry remembers; the oldest is forgotten first.
-const MAX_CRASHES: usize = 1_024;
+const MAX_REMEMBERED: usize = 1_024;
 
-/// Tasks that were at an endpoint when it crashed.
-#[derive(Debug)]
-struct Crash {
-    kept_until: Instant,
-    tasks: Vec<TaskId>,
+/// Crashes under a task after which it is given up if no other job was at the endpoint
+/// at one of them.
+const CRASHES_WITH_PROOF: usize = 2;
+
+/// Crashes under a task after which it is given up in any case.
+const CRASHES_WITHOUT_PROOF: usize = 3;
+
+/// Crashes under one task.
+#[derive(Clone, Copy, Debug, Default)]
+struct TaskCrashes {
+    all: usize,
+    /// Crashes at which only tasks of the same job were at the endpoint.
+    alone: usize,
+}
+
+impl TaskCrashes {
+    /// Whether the task is to blame. At a single crash, and where other jobs were at the
+    /// endpoint, the crash may be their fault or that of the endpoint.
+    fn is_proof(self) -> bool {
+        self.all >= CRASHES_WITHOUT_PROOF || (self.all >= CRASHES_WITH_PROOF && self.alone > 0)
+    }
 }
 
 /// The recent crashes that agents reported, and their number under each task.
@@ -23,61 +39,84 @@
 /// that assigned it, and the answer to its caller.
 #[derive(Debug, Default)]
 pub(crate) struct CrashCounts {
-    crashes: IndexMap<(EndpointId, Incarnation), Crash>,
-    by_job: IndexMap<JobId, IndexMap<TaskPosition, usize>>,
+    /// Crashes, and until when each is remembered. An agent may report several crashes
+    /// of one incarnation, since it takes an endpoint that it cannot reach for crashed.
+    crashes: IndexMap<EndpointCrash, Instant>,
+    by_job: IndexMap<JobId, IndexMap<TaskPosition, TaskCrashes>>,
 }
 
 impl CrashCounts {
     /// Counts a crash, unless it was reported before.
     pub(crate) fn add(&mut self, now: Instant, crash: EndpointCrash) {
-        let key = (crash.endpoint, crash.incarnation);
-        if self.crashes.contains_key(&key) {
+        if self.crashes.contains_key(&crash) {
             return;
         }
-        for task in &crash.tasks {
+        let alone = usize::from(is_of_one_job(&crash));
+        for task in distinct_tasks(&crash) {
             let job = self.by_job.entry(task.job.clone()).or_default();
-            *job.entry(task.at).or_default() += 1;
+            let counts = job.entry(task.at).or_default();
+            counts.all += 1;
+            counts.alone += alone;
         }
-        let kept_until = now + CRASH_KEPT;
-        let tasks = crash.tasks;
-        self.crashes.insert(key, Crash { kept_until, tasks });
-        if self.crashes.len() > MAX_CRASHES {
+        self.crashes.insert(crash, now + CRASH_KEPT);
+        if self.crashes.len() > MAX_REMEMBERED {
             self.forget_oldest();
         }
     }
 
     /// Returns the number of the crashes under the task of a job that saw most.
     pub(crate) fn most_under(&self, job: &JobId) -> usize {
-        let by_task = self.by_job.get(job);
-        let counts = by_task.into_iter().flat_map(IndexMap::values);
-        counts.copied().max().unwrap_or_default()
+        let counts = self.of_job(job).map(|counts| counts.all);
+        counts.max().unwrap_or_default()
+    }
+
+    /// Whether a task of the job is to blame for crashes.
+    pub(crate) fn is_proven(&self, job: &JobId) -> bool {
+        self.of_job(job).any(TaskCrashes::is_proof)
     }
 
     pub(crate) fn forget_old(&mut self, now: Instant) {
         while self
             .crashes
             .first()
-            .is_some_and(|(_, crash)| crash.kept_until < now)
+            .is_some_and(|(_, kept_until)| *kept_until < now)
         {
             self.forget_oldest();
         }
     }
 
+    fn of_job(&self, job: &JobId) -> impl Iterator<Item = TaskCrashes> {
+        let by_task = self.by_job.get(job).into_iter();
+        by_task.flat_map(IndexMap::values).copied()
+    }
+
     fn forget_oldest(&mut self) {
-        let Some((_, crash)) = self.crashes.shift_remove_index(0) else {
+        let Some((crash, _)) = self.crashes.shift_remove_index(0) else {
             return;
         };
-        for task in crash.tasks {
+        let alone = usize::from(is_of_one_job(&crash));
+        for task in distinct_tasks(&crash) {
             let Some(by_task) = self.by_job.get_mut(&task.job) else {
                 continue;
             };
-            if let Some(count) = by_task.get_mut(&task.at) {
-                *count -= 1;
+            if let Some(counts) = by_task.get_mut(&task.at) {
+                counts.all -= 1;
+                counts.alone -= alone;
             }
-            by_task.retain(|_, count| *count > 0);
+            by_task.retain(|_, counts| counts.all > 0);
             if by_task.is_empty() {
                 self.by_job.swap_remove(&task.job);
             }
         }
     }
 }
+
+/// A task may have been at the endpoint in several runs.
+fn distinct_tasks(crash: &EndpointCrash) -> IndexSet<&TaskId> {
+    crash.tasks.iter().collect()
+}
+
+fn is_of_one_job(crash: &EndpointCrash) -> bool {
+    let first = crash.tasks.first();
+    first.is_some_and(|first| crash.tasks.iter().all(|task| task.job == first.job))
+}
--- a/crates/decisions/src/placement/crashes.rs
+++ b/crates/decisions/src/placement/crashes.rs
@@ -6,10 +6,6 @@
     std::time::Instant,
 };
 
-/// Crashes of endpoints under a task after which its job fails. At a single one,
-/// the crash may be the fault of the endpoint or of a task beside it.
-const MAX_CRASHES: usize = 2;
-
 impl Dispatcher {
     pub(super) fn count_crashes(&mut self, now: Instant, crashes: Vec<EndpointCrash>) {
         for crash in crashes {
@@ -22,14 +18,14 @@
         }
     }
 
-    /// Ends the changed jobs with a task under which endpoints crashed too often.
+    /// Ends the changed jobs with a task that is to blame for crashes.
     pub(super) fn give_up_crashing_jobs(&mut self, now: Instant) {
         let mut given_up: Vec<(CallerId, usize)> = Vec::new();
         for caller in &self.changes.jobs {
             if let Some(held) = self.jobs.get(caller) {
-                let crashes = self.crashes.most_under(&held.job.id);
-                if crashes >= MAX_CRASHES {
-                    given_up.push((*caller, crashes));
+                let job = &held.job.id;
+                if self.crashes.is_proven(job) {
+                    given_up.push((*caller, self.crashes.most_under(job)));
                 }
             }
         }
--- a/crates/types/src/endpoint_report.rs
+++ b/crates/types/src/endpoint_report.rs
@@ -73,7 +73,7 @@
 }
 
 /// Reports that an endpoint crashed while tasks were there.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct EndpointCrash {
     /// The endpoint.
     pub endpoint: EndpointId,
