Report no crash that is no longer remembered

Cause: an agent dropped old crashes only when another one happened, so that each new link of an entry got them again, and the entry kept them for another 30 s. Change: reports leave out crashes whose time is over. Measured: an_old_crash_is_reported_to_a_new_entry failed before, passes now.

--- a/crates/decisions/src/crashes/crash_reports.rs
+++ b/crates/decisions/src/crashes/crash_reports.rs
@@ -7,7 +7,7 @@
 };
 
 /// Most crashes that an agent keeps.
-const MAX_CRASHES: usize = 32;
+const MAX_REPORTED: usize = 32;
 
 /// Number of a crash, counted from 1.
 pub(crate) type CrashNumber = u64;
@@ -24,7 +24,7 @@
         self.forget_old(now);
         self.newest += 1;
         self.kept.push_back((self.newest, now + CRASH_KEPT, crash));
-        if self.kept.len() > MAX_CRASHES {
+        if self.kept.len() > MAX_REPORTED {
             self.kept.pop_front();
         }
     }
@@ -34,9 +34,10 @@
         self.newest
     }
 
-    /// Returns the crashes with higher numbers than `known`.
-    pub(crate) fn after(&self, known: CrashNumber) -> Vec<EndpointCrash> {
-        let unknown = self.kept.iter().filter(|(number, ..)| *number > known);
+    /// Returns the recent crashes with higher numbers than `known`.
+    pub(crate) fn after(&self, now: Instant, known: CrashNumber) -> Vec<EndpointCrash> {
+        let unknown = self.kept.iter();
+        let unknown = unknown.filter(|(number, until, _)| *number > known && now <= *until);
         unknown.map(|(_, _, crash)| crash.clone()).collect()
     }
 
--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -50,7 +50,7 @@
             info,
             live,
             ends: state.resync_ends(),
-            crashes: self.crashes.after(0),
+            crashes: self.crashes.after(now, 0),
         };
         self.actions
             .push(GuardAction::Send(entry, GuardMessage::Resync(resync)));
@@ -235,7 +235,7 @@
                 slowness: room.slowness,
                 last_assignment: state.last_assignment,
                 ends: std::mem::take(&mut state.unsent_ends),
-                crashes: self.crashes.after(state.known_crash),
+                crashes: self.crashes.after(now, state.known_crash),
             };
             state.known_crash = newest_crash;
             let message = GuardMessage::Update(update);
--- a/crates/decisions/tests/crashes.rs
+++ b/crates/decisions/tests/crashes.rs
@@ -519,6 +519,23 @@
     assert_eq!(outcomes, Vec::from_iter(expected));
 }
 
+#[rstest]
+fn an_old_crash_is_reported_to_a_new_entry() {
+    let mut agent = Agent::new();
+    agent.link(0, 1);
+    agent.start(1, assignment(1, SUSPECT, 2));
+    agent.handle(10, announcement(2, 1, false));
+    let reported = |actions: Vec<GuardAction>| {
+        let reports = actions.iter().filter_map(|action| match action {
+            GuardAction::Send(_, GuardMessage::Resync(resync)) => Some(resync.crashes.len()),
+            _ => None,
+        });
+        reports.sum::<usize>()
+    };
+    assert_eq!(reported(agent.link(1_000, 2)), 1);
+    assert_eq!(reported(agent.link(60_000, 3)), 0);
+}
+
 /// Returns the jobs of the runs that an agent starts.
 fn started(actions: &[GuardAction]) -> Vec<&str> {
     let starts = actions.iter().filter_map(|action| match action {
