Start nothing at an endpoint that refuses connections

An order that was sent without an answer left the endpoint counted as refusing connections. Change: such an endpoint takes no work until an order reaches it again, and entries learn of either.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -142,8 +142,8 @@
         self.mark_stale();
     }
 
-    /// Records and reports that the endpoint crashed, with the tasks that were there. An endpoint
-    /// that had announced its end did not crash.
+    /// Records and reports that the endpoint crashed, with the tasks that were there. An
+    /// endpoint that had announced its end did not crash.
     fn record_crash(&mut self, now: Instant) {
         let Some(endpoint) = self.endpoint.as_mut().filter(|e| !e.is_leaving) else {
             return;
@@ -182,13 +182,17 @@
         if endpoint.info.incarnation != incarnation {
             return false;
         }
+        let process = endpoint.process;
         match answer {
             Answer::Done(clock, _) | Answer::Refused(Some(clock), _) => {
                 endpoint.clock.update(now, *clock);
                 endpoint.record_contact(now);
             }
             Answer::Refused(None, OrderFault::Unreachable) => endpoint.record_unreachable(),
-            Answer::Refused(None, _) | Answer::Unknown => {}
+            Answer::Refused(None, _) | Answer::Unknown => endpoint.record_sent_order(),
+        }
+        if endpoint.process != process {
+            self.mark_stale();
         }
         true
     }
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -94,10 +94,15 @@
     /// Records that the endpoint answered, so that its process is there.
     pub(crate) fn record_contact(&mut self, now: Instant) {
         self.last_contact_at = now;
+        self.record_sent_order();
+        self.lapsed.clear();
+    }
+
+    /// Records that an order was sent, so that a process accepted its connection.
+    pub(crate) fn record_sent_order(&mut self) {
         if self.process == ProcessState::Unreachable {
             self.process = ProcessState::Present;
         }
-        self.lapsed.clear();
     }
 
     /// Records that no connection was made for an order.
@@ -150,7 +155,7 @@
     pub(crate) fn takes_work(&self, now: Instant) -> bool {
         self.is_clean
             && !self.is_leaving
-            && self.process != ProcessState::Superseded
+            && self.process == ProcessState::Present
             && self.is_responsive(now)
     }
 }
--- a/crates/decisions/tests/crashes.rs
+++ b/crates/decisions/tests/crashes.rs
@@ -536,6 +536,34 @@
     assert_eq!(reported(agent.link(60_000, 3)), 0);
 }
 
+#[rstest]
+fn starts_at_an_endpoint_that_refuses_connections_renew_its_lease() {
+    let mut agent = Agent::new();
+    agent.link(0, 1);
+    agent.start(1, assignment(1, SUSPECT, 2));
+    let mut crash_known_at = None;
+    for millis in (10..KNOWN_WITHIN_MS).step_by(10) {
+        let mut actions = agent.answer_lists(millis, &REFUSED);
+        let next = assignment(millis, &format!("{millis:016x}"), 1);
+        for action in agent.handle(millis, GuardInput::Assign("entry".into(), next)) {
+            if let GuardAction::Start(order) = action {
+                let refused = Answer::Refused(None, OrderFault::Unreachable);
+                let started = GuardInput::Started(order.incarnation, order.run, refused);
+                actions.extend(agent.handle(millis, started));
+            }
+        }
+        actions.extend(agent.handle(millis, GuardInput::Tick));
+        if !crashes(&actions).is_empty() {
+            crash_known_at = crash_known_at.or(Some(millis));
+        }
+    }
+    let known_at = crash_known_at.expect("the crash is known");
+    assert!(
+        known_at <= LEASE_MS,
+        "the crash is known after {known_at} ms"
+    );
+}
+
 /// Returns the jobs of the runs that an agent starts.
 fn started(actions: &[GuardAction]) -> Vec<&str> {
     let starts = actions.iter().filter_map(|action| match action {
