Let urgent tasks start before one that waits for an empty endpoint

Cause: a task that may crash its endpoint blocked every other start there while it waited for the endpoint to empty, those of a more urgent priority too. The check also compared each waiting run with all others before it looked at the room. Change: only tasks as urgent or less wait behind it; the room is looked at first. Measured: an_urgent_task_waits_behind_one_that_may_crash_the_endpoint failed before, passes now.

--- a/crates/decisions/src/guard/runs.rs
+++ b/crates/decisions/src/guard/runs.rs
@@ -107,7 +107,8 @@
     }
 
     /// Whether a waiting run may start beside those at the endpoint. While a run that
-    /// needs the endpoint alone waits, no other starts, so that the endpoint empties.
+    /// needs the endpoint alone waits, none that is as urgent or less starts, so that the
+    /// endpoint empties.
     pub(crate) fn may_start_beside_others(&self, key: &RunKey) -> bool {
         let Some(run) = self.by_key.get(key) else {
             return false;
@@ -117,7 +118,7 @@
             if other.is_at_endpoint() {
                 !other.is_alone && !run.is_alone
             } else {
-                !other.is_alone || run.is_alone
+                !other.is_alone || run.is_alone || run.priority < other.priority
             }
         })
     }
--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -111,11 +111,10 @@
         if !free.fits(need) {
             self.contention.record(now, priority, need);
         }
-        if !self.runs.may_start_beside_others(key) {
-            return None;
-        }
-        let has_room = reserve.usable(free, priority).fits(need);
-        (has_room && !self.runs.has_other_run(&task, key)).then_some(need)
+        let may_start = reserve.usable(free, priority).fits(need)
+            && !self.runs.has_other_run(&task, key)
+            && self.runs.may_start_beside_others(key);
+        may_start.then_some(need)
     }
 
     pub(super) fn start_run(&mut self, now: Instant, key: &RunKey, free: Resources) {
--- a/crates/decisions/src/placement/placing.rs
+++ b/crates/decisions/src/placement/placing.rs
@@ -21,8 +21,8 @@
 /// slots in this time.
 const MAX_WAIT_AT_AGENT: Duration = Duration::from_millis(30);
 
-/// Counterpart of [`MAX_WAIT_AT_AGENT`] for tasks that must not run beside others:
-/// most runs that they have to wait for end within this time.
+/// Counterpart of [`MAX_WAIT_AT_AGENT`] for tasks that must not run beside others and
+/// wait until these have ended.
 const MAX_WAIT_FOR_EMPTY_ENDPOINT: Duration = Duration::from_millis(150);
 
 /// Shortest time for which assigned tasks may wait at an agent: five round trips
--- a/crates/decisions/tests/crashes.rs
+++ b/crates/decisions/tests/crashes.rs
@@ -596,3 +596,19 @@
     }
     assert_eq!(started(&actions), ["00000000000000d1"; 2]);
 }
+
+#[rstest]
+fn an_urgent_task_waits_behind_one_that_may_crash_the_endpoint() {
+    let mut agent = Agent::new();
+    agent.link(0, 1);
+    agent.start(1, assignment(1, "00000000000000a1", 1));
+    let suspect = Assignment {
+        alone: true,
+        priority: 1,
+        ..assignment(2, "00000000000000d1", 2)
+    };
+    let urgent = assignment(3, "00000000000000a3", 1);
+    agent.handle(2, GuardInput::Assign("entry".into(), suspect));
+    let actions = agent.handle(3, GuardInput::Assign("entry".into(), urgent));
+    assert_eq!(started(&actions), ["00000000000000a3"]);
+}
