Assign the room of an endpoint once in each placement

Cause: after a job that gets whole endpoints was placed, the free room of every endpoint was restored, also of those that the job could not use: room that an earlier job had got in the same placement was assigned again. The agent refused such tasks, so that they waited up to 30 ms in vain. Change: only the endpoints that the job was offered get their room back.

--- a/crates/decisions/src/placement/candidates.rs
+++ b/crates/decisions/src/placement/candidates.rs
@@ -31,8 +31,8 @@
     agent: &'a AgentId,
     info: &'a EndpointInfo,
     free: Resources,
-    /// Free room before the present job was placed.
-    reported_free: Resources,
+    /// Free room before a job that gets whole endpoints was placed.
+    free_before: Option<Resources>,
     reserve: Reserve,
     most_tasks: u16,
     slowness: f32,
@@ -73,7 +73,7 @@
                 agent,
                 info,
                 free,
-                reported_free: free,
+                free_before: None,
                 reserve: view.reserve(),
                 most_tasks,
                 slowness: view.slowness(),
@@ -125,8 +125,8 @@
         for candidate in &mut fitting {
             candidate.cost = candidate.cost(rack, &job.job.id);
             candidate.half = candidate.usable(job).half();
-            candidate.reported_free = candidate.free;
             if is_alone {
+                candidate.free_before = Some(candidate.free);
                 candidate.free = candidate.info.total;
                 candidate.half = candidate.info.total;
             }
@@ -152,12 +152,12 @@
                     .push(task.at);
             }
         }
-        if is_alone {
-            for candidate in &mut self.candidates {
+        for candidate in &mut self.candidates {
+            if let Some(free_before) = candidate.free_before.take() {
                 candidate.free = if chosen.contains_key(candidate.agent) {
                     Resources::default()
                 } else {
-                    candidate.reported_free
+                    free_before
                 };
             }
         }
--- a/crates/decisions/tests/crashes.rs
+++ b/crates/decisions/tests/crashes.rs
@@ -612,3 +612,50 @@
     let actions = agent.handle(3, GuardInput::Assign("entry".into(), urgent));
     assert_eq!(started(&actions), ["00000000000000a3"]);
 }
+
+#[rstest]
+fn room_is_assigned_twice_after_a_job_that_got_a_whole_endpoint() {
+    let mut site = Site::new(1);
+    let jobs = ["00000000000000a1", SUSPECT_OF_OTHERS, "00000000000000a3"];
+    for (at, job) in (20..).zip(jobs) {
+        site.submit_with_need(at, job, 1, room(2));
+    }
+    assert_eq!(site.starts.len(), 3);
+    for name in ["endpoint-x", "endpoint-y"] {
+        let info = EndpointInfo {
+            total: room(3),
+            ..endpoint_info(name, 1)
+        };
+        let resync = Resync {
+            info: Some(info),
+            ..Resync::default()
+        };
+        let free = AgentUpdate {
+            free: room(3),
+            most_tasks: u16::MAX,
+            slowness: 1.0,
+            ..AgentUpdate::default()
+        };
+        site.dispatch(30, DispatchInput::AgentUp(name.into(), 1, resync));
+        site.dispatch(30, DispatchInput::Update(name.into(), free));
+    }
+    let not_started = |assignment| TaskEnd {
+        assignment,
+        at: TaskPosition { step: 0, index: 0 },
+        kind: EndKind::NotStarted,
+        run: 0,
+        ran: Duration::ZERO,
+    };
+    let returned = AgentUpdate {
+        ends: (1..=3).map(not_started).collect(),
+        crashes: vec![crash("w", &[SUSPECT_OF_OTHERS])],
+        ..AgentUpdate::default()
+    };
+    let actions = site.dispatch(40, DispatchInput::Update("endpoint-0".into(), returned));
+    let assigned = actions.iter().filter_map(|action| match action {
+        DispatchAction::Assign(_, assignment) => Some(&*assignment.job),
+        _ => None,
+    });
+    let expected = ["00000000000000a1", SUSPECT_OF_OTHERS];
+    assert_eq!(assigned.collect::<Vec<_>>(), expected);
+}
