--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -44,6 +44,7 @@
         "spread-after-crash" => spread_after_crash,
         "odd-heartbeat" => odd_heartbeat,
         "late-start-after-restart" => late_start_after_restart,
+        "late-start-after-power-loss" => late_start_after_power_loss,
         _ => return Err(io::Error::other("no such case")),
     };
     let (site, broken) = play(record, is_troubled)?;
@@ -446,3 +447,44 @@
     let broken = overlaps(&site);
     Ok((site, broken))
 }
+
+/// An executor leaves a start unanswered, its machine loses power, and the start is
+/// carried out by the next incarnation before the machine's agent runs again.
+fn late_start_after_power_loss(record: Record, is_troubled: bool) -> Played {
+    const EXECUTORS: usize = 7;
+    /// `for_s` of the sites' power losses.
+    const DARK: Duration = Duration::from_millis(3_500);
+    /// Delay with which the agent starts after the executor.
+    const AGENT_LATER: Duration = Duration::from_millis(500);
+    let mut site = Site::start(record, 1, EXECUTORS, TRUE_CLOCK)?;
+    // The clock of the first incarnation has to be ahead of that of the second.
+    thread::sleep(Duration::from_secs(6));
+    if is_troubled {
+        site.executors[0].keep_next_start();
+    }
+    let body = job(12_000, &[step(8 * EXECUTORS, 12_000, "")]);
+    let caller = site.caller(0);
+    let path = format!("{PREFIX}00000000000000f1");
+    let client = thread::spawn(move || caller.call("POST", &path, &body, Duration::from_secs(40)));
+    thread::sleep(Duration::from_millis(300));
+    let kept = site.executors[0].take_kept_start();
+    if is_troubled && kept.is_none() {
+        return Err(io::Error::other("no start was left unanswered"));
+    }
+    site.record()
+        .line("the machine of agent-0 and i-0 loses power");
+    site.agents[0].kill();
+    site.executors[0].crash();
+    thread::sleep(DARK);
+    site.restart_executor(0)?;
+    thread::sleep(AGENT_LATER / 2);
+    if let Some(start) = kept {
+        site.executors[0].carry_out_late(&start);
+    }
+    thread::sleep(AGENT_LATER / 2);
+    let shared = site.shared.clone();
+    site.agents[0].start(&shared.record)?;
+    let _ = client.join();
+    let broken = overlaps(&site);
+    Ok((site, broken))
+}
