Count a run that an endpoint lists as ended as one that has begun

Cause: a run that lapsed before its start was answered kept the end NotStarted, and the entry refused its job as one of which nothing had run. Ruled out: the lease that ended early; it only needs a reading that came late, which is allowed. Change: an end in an endpoint's list is reported as Stopped where it would have been NotStarted. A list names only runs that have begun.

--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -115,6 +115,10 @@
         let kind = match end.how {
             RunEnd::Done => EndKind::Done,
             RunEnd::Failed => EndKind::Failed,
+            // A listed run has begun, even if the answer of its start is still missing.
+            RunEnd::Stopped | RunEnd::Lapsed if run.end_kind == EndKind::NotStarted => {
+                EndKind::Stopped
+            }
             RunEnd::Stopped | RunEnd::Lapsed => run.end_kind,
         };
         let expected = run.assigned.expected.as_secs_f32().max(f32::MIN_POSITIVE);
--- a/crates/decisions/tests/best_effort_orders.rs
+++ b/crates/decisions/tests/best_effort_orders.rs
@@ -17,8 +17,9 @@
 const REGRESSIONS: [u64; 3] = [2_571, 30_503, 1_000_122];
 
 /// Seeds that failed once with mute endpoints: a lease that outlasted its agent's wait
-/// on a slow clock (1549).
-const MUTE_REGRESSIONS: [u64; 1] = [1_549];
+/// on a slow clock (1549); a run that had lapsed before its start was answered, reported
+/// as not started (1880).
+const MUTE_REGRESSIONS: [u64; 2] = [1_549, 1_880];
 
 /// How long jobs are submitted and faults injected, in milliseconds.
 const FAULTS: u64 = 8_000;
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -6,8 +6,8 @@
         ListOrder, ListReply, ListedEnd, ListedRun, OrderFault, RunEnd, StartOrder,
     },
     chestnutrun_types::{
-        AssignedTask, Assignment, EndpointInfo, EntryId, Now, Resources, Revocation, TaskId,
-        TaskPosition,
+        AssignedTask, Assignment, EndKind, EndpointInfo, EntryId, Now, Resources, Revocation,
+        TaskId, TaskPosition,
     },
     rstest::rstest,
     std::time::{Duration, Instant, SystemTime},
@@ -740,3 +740,33 @@
         ended: Vec::new(),
     }
 }
+
+/// A run lapsed before its start was answered, and its end was listed. The agent
+/// reported that it had never started, so that its caller was refused.
+#[rstest]
+#[case(RunEnd::Lapsed)]
+#[case(RunEnd::Stopped)]
+fn a_run_that_ended_before_its_start_was_answered_counts_as_not_started(#[case] how: RunEnd) {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 0));
+    let end = ListedEnd {
+        number: 1,
+        task: start.task,
+        run: start.run,
+        how,
+    };
+    let reply = ListReply {
+        running: Vec::new(),
+        ended: vec![end],
+    };
+    let now = later(begin, 40);
+    let answer = Answer::Done(Duration::from_secs(1), reply);
+    let actions = guard.handle(now, GuardInput::Listed(1, list_sent_at(now), answer));
+    let kinds = actions.iter().filter_map(|action| match action {
+        GuardAction::Send(_, GuardMessage::Update(update)) => Some(&update.ends),
+        _ => None,
+    });
+    let kinds: Vec<EndKind> = kinds.flatten().map(|end| end.kind).collect();
+    assert_eq!(kinds, [EndKind::Stopped], "{actions:?}");
+}
