Adopt another endpoint only when the known one is gone

At a site without room they were answered 504, as the real executor was not used again. Cause: a heartbeat of another writer, which lacked fields or named another id with a later start, was taken for proof that the known executor had ended; and the real one, which started earlier, for outdated from then on. The case an_announced_endpoint_is_not_used_though_the_known_one_is_gone passed before as well. An announcement is a claim; what answers at the address is the evidence.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -4,7 +4,7 @@
     crate::{
         guard::{
             Announcement, Answer, GuardAction, GuardMachine, GuardMessage, OrderFault,
-            endpoint_state::EndpointState,
+            endpoint_state::{EndpointState, ProcessState},
             run::{Phase, Run, RunKey},
         },
         timing::NUMBER_STEP,
@@ -22,13 +22,19 @@
             self.endpoint = Some(EndpointState::new(now, announcement));
             return;
         };
-        let is_same = endpoint.info.endpoint == announcement.info.endpoint
-            && endpoint.info.incarnation == announcement.info.incarnation;
-        if !is_same && announcement.info.incarnation <= endpoint.info.incarnation {
-            return;
-        }
-        if !is_same {
-            self.replace_endpoint(now, announcement);
+        let is_same_id = endpoint.info.endpoint == announcement.info.endpoint;
+        if !is_same_id || endpoint.info.incarnation != announcement.info.incarnation {
+            // If another process answers the orders, the known one may be an invention
+            // of another writer, with a later start than the real one.
+            let is_later = announcement.info.incarnation > endpoint.info.incarnation;
+            if !is_later && endpoint.process != ProcessState::Superseded {
+                return;
+            }
+            if is_same_id {
+                self.replace_endpoint(now, announcement);
+            } else {
+                endpoint.successor = Some(announcement);
+            }
             return;
         }
         if announcement.sequence <= endpoint.sequence {
@@ -51,6 +57,21 @@
         }
     }
 
+    /// Switches to the endpoint that announced itself in place of the present one, once
+    /// another process answers there or the present one is silent and its leases are over.
+    /// An announcement alone, which may come from another writer, ends no run.
+    pub(super) fn adopt_successor(&mut self, now: Instant) {
+        let may_run = self.runs.iter().any(Run::is_at_endpoint);
+        let Some(endpoint) = &mut self.endpoint else {
+            return;
+        };
+        let is_gone = endpoint.process == ProcessState::Superseded
+            || !(may_run || endpoint.is_responsive(now));
+        if is_gone && let Some(successor) = endpoint.successor.take() {
+            self.replace_endpoint(now, successor);
+        }
+    }
+
     /// Switches to another endpoint, or to a new incarnation of the same one.
     ///
     /// A new incarnation of the same endpoint may receive orders that were sent
@@ -89,6 +110,9 @@
             self.end_all_runs(now);
             if let Some(ended) = self.endpoint.take() {
                 self.record_endpoint_event(&ended.info, "gone");
+                if let Some(successor) = ended.successor {
+                    self.handle_announcement(now, successor);
+                }
             }
             self.send_endpoint_info();
         }
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -48,6 +48,8 @@
     pub(crate) health: EndpointHealth,
     pub(crate) is_leaving: bool,
     pub(crate) process: ProcessState,
+    /// Announcement of another endpoint, taken once this one no longer answers.
+    pub(crate) successor: Option<Announcement>,
     /// Tasks whose lease ended while the endpoint was silent.
     pub(crate) lapsed: Vec<TaskId>,
     /// Whether the endpoint is known to run only tasks that this agent started.
@@ -79,6 +81,7 @@
             health: EndpointHealth::default(),
             is_leaving: announcement.leaving,
             process: ProcessState::Present,
+            successor: None,
             lapsed: Vec::new(),
             is_clean: false,
             last_end: 0,
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -80,6 +80,7 @@
             GuardInput::Leave => self.leave(at),
             GuardInput::Tick => self.tick(at),
         }
+        self.adopt_successor(at);
         self.start_waiting(at);
         self.send_long_poll(at);
         self.send_immediate_list_if_due(at);
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -770,3 +770,75 @@
     let kinds: Vec<EndKind> = kinds.flatten().map(|end| end.kind).collect();
     assert_eq!(kinds, [EndKind::Stopped], "{actions:?}");
 }
+
+/// An announcement of another endpoint, with a later start.
+fn other_announcement() -> GuardInput {
+    let mut other = announcement();
+    other.info.endpoint = "other".into();
+    other.info.incarnation = 2;
+    GuardInput::Announced(other)
+}
+
+/// Returns the endpoints that list orders were sent to.
+fn listed_endpoints(actions: Vec<GuardAction>) -> Vec<String> {
+    let orders = lists(actions).into_iter();
+    orders.map(|order| order.endpoint.to_string()).collect()
+}
+
+/// Another writer announced an endpoint that does not exist. The runs of the real one
+/// were taken for ended, although it went on answering.
+#[rstest]
+fn an_announced_endpoint_ends_the_runs_of_one_that_answers() {
+    let begin = Instant::now();
+    let (mut guard, _) = guard_with_runs(begin, 2);
+    guard.handle(later(begin, 10), other_announcement());
+    assert_eq!(guard.tasks(), 2);
+    let now = later(begin, 60);
+    let listed = listed_endpoints(guard.handle(now, GuardInput::Tick));
+    assert_eq!(listed, ["endpoint"]);
+    assert!(guard.takes_work(now.instant));
+}
+
+/// A new endpoint is used once another process answers at the address, or the known one
+/// has been silent until its leases were over.
+#[rstest]
+#[case::another_process_answers(Some(OrderFault::OtherIncarnation), 10)]
+#[case::silent(None, 1_350)]
+fn an_announced_endpoint_is_not_used_though_the_known_one_is_gone(
+    #[case] fault: Option<OrderFault>,
+    #[case] within: u64,
+) {
+    let begin = Instant::now();
+    let (mut guard, _) = guard_with_runs(begin, 2);
+    guard.handle(later(begin, 10), other_announcement());
+    if let Some(fault) = fault {
+        let now = later(begin, 11);
+        let answer = Answer::Refused(None, fault);
+        guard.handle(now, GuardInput::Listed(1, list_sent_at(now), answer));
+    }
+    for at in (11..10 + within).step_by(10) {
+        guard.handle(later(begin, at), GuardInput::Tick);
+        let alive = later(begin, at).instant;
+        guard.handle(later(begin, at), GuardInput::Proven("entry".into(), alive));
+    }
+    let listed = guard.handle(later(begin, 10 + within), GuardInput::Tick);
+    assert_eq!(guard.tasks(), 0);
+    assert!(
+        !listed_endpoints(listed).contains(&"endpoint".to_owned()),
+        "orders go to the new endpoint"
+    );
+}
+
+/// The agent took an invented endpoint for a successor, and then the real one, with its
+/// earlier start, for an outdated announcement.
+#[rstest]
+fn an_invented_endpoint_shuts_out_the_real_one() {
+    let begin = Instant::now();
+    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let order = lists(guard.handle(later(begin, 0), other_announcement())).remove(0);
+    guard.handle(later(begin, 5), GuardInput::Announced(announcement()));
+    let refused = Answer::Refused(None, OrderFault::OtherIncarnation);
+    guard.handle(later(begin, 10), GuardInput::Listed(2, order, refused));
+    let real = guard.handle(later(begin, 1_500), GuardInput::Announced(announcement()));
+    assert_eq!(listed_endpoints(real), ["endpoint"]);
+}
