Tell the other entries of a cancelled job

Cause: an entry looked only at its own jobs, and told nobody. Ruled out: the job was known and could be cancelled at the entry that holds it.

--- a/crates/decisions/src/placement/caller_inputs.rs
+++ b/crates/decisions/src/placement/caller_inputs.rs
@@ -8,7 +8,7 @@
         },
         timing::millis,
     },
-    chestnutrun_types::{DecisionEvent, JobId},
+    chestnutrun_types::{CancelledJob, DecisionEvent, JobId},
     std::time::Instant,
 };
 
@@ -111,8 +111,33 @@
         self.drop_job(first);
     }
 
+    /// Cancels a job here and at all other entries, any of which may hold it or a copy
+    /// of it.
     pub(super) fn cancel(&mut self, now: Instant, id: &JobId) {
-        self.cancelled.insert(now, id.clone());
+        if self.cancelled.insert(now, id.clone()) {
+            self.spread_cancel(now, id);
+        }
+        self.end_cancelled(now, id);
+    }
+
+    /// Cancels jobs that were cancelled at another entry. Each entry passes a job on
+    /// once, so that this ends.
+    pub(super) fn cancel_remote(&mut self, now: Instant, jobs: &[CancelledJob]) {
+        for cancelled in jobs {
+            if self.cancelled.insert_remote(now, cancelled) {
+                self.spread_cancel(now, &cancelled.job);
+                self.end_cancelled(now, &cancelled.job);
+            }
+        }
+    }
+
+    fn spread_cancel(&mut self, now: Instant, id: &JobId) {
+        let cancelled = self.cancelled.get(now, id);
+        self.actions
+            .extend(cancelled.map(DispatchAction::SpreadCancel));
+    }
+
+    fn end_cancelled(&mut self, now: Instant, id: &JobId) {
         let Some(first) = self.find_job(id) else {
             return;
         };
--- a/crates/decisions/src/placement/cancelled_jobs.rs
+++ b/crates/decisions/src/placement/cancelled_jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs that were cancelled a short time ago.
 
 use {
-    chestnutrun_types::JobId,
+    chestnutrun_types::{CancelledJob, JobId},
     indexmap::IndexMap,
     std::time::{Duration, Instant},
 };
@@ -17,23 +17,54 @@
 const MAX_KEPT: usize = 4_096;
 
 /// Jobs that were cancelled a short time ago, with the moment until which each is
-/// remembered, in this order.
+/// remembered.
 #[derive(Debug, Default)]
 pub(crate) struct CancelledJobs {
     jobs: IndexMap<JobId, Instant>,
 }
 
 impl CancelledJobs {
-    pub(crate) fn insert(&mut self, now: Instant, job: JobId) {
-        if job.len() > MAX_ID_BYTES {
-            return;
+    /// Remembers a job that a caller cancelled now; returns whether it was not
+    /// remembered before.
+    pub(crate) fn insert(&mut self, now: Instant, job: JobId) -> bool {
+        self.insert_until(now, job, now + KEPT_FOR)
+    }
+
+    /// Remembers a job that was cancelled at another entry; returns whether it was not
+    /// remembered before.
+    pub(crate) fn insert_remote(&mut self, now: Instant, cancelled: &CancelledJob) -> bool {
+        let until = now + cancelled.remembered_for.min(KEPT_FOR);
+        !self.contains(now, &cancelled.job)
+            && now < until
+            && self.insert_until(now, cancelled.job.clone(), until)
+    }
+
+    fn insert_until(&mut self, now: Instant, job: JobId, until: Instant) -> bool {
+        if job.is_empty() || job.len() > MAX_ID_BYTES {
+            return false;
         }
+        let is_new = !self.contains(now, &job);
         self.jobs.shift_remove(&job);
         let outdated = self.jobs.values().take_while(|until| **until <= now);
         let outdated = outdated.count();
         let surplus = (self.jobs.len() + 1).saturating_sub(MAX_KEPT);
         self.jobs.drain(..outdated.max(surplus));
-        self.jobs.insert(job, now + KEPT_FOR);
+        self.jobs.insert(job, until);
+        is_new
+    }
+
+    /// Returns a remembered job as other entries are told of it.
+    pub(crate) fn get(&self, now: Instant, job: &JobId) -> Option<CancelledJob> {
+        let remembered_for = self.jobs.get(job)?.checked_duration_since(now)?;
+        Some(CancelledJob {
+            job: job.clone(),
+            remembered_for,
+        })
+    }
+
+    /// Returns the remembered jobs as other entries are told of them.
+    pub(crate) fn all(&self, now: Instant) -> impl Iterator<Item = CancelledJob> {
+        self.jobs.keys().filter_map(move |job| self.get(now, job))
     }
 
     pub(crate) fn contains(&self, now: Instant, job: &JobId) -> bool {
--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -10,7 +10,9 @@
             overload::retry_after, run_time_ratios::RunTimeRatios,
         },
     },
-    chestnutrun_types::{AgentId, AssignmentId, DecisionEvent, Now, Revocation, ServiceId, ZoneId},
+    chestnutrun_types::{
+        AgentId, AssignmentId, CancelledJob, DecisionEvent, Now, Revocation, ServiceId, ZoneId,
+    },
     indexmap::{IndexMap, IndexSet},
     std::time::{Duration, Instant},
 };
@@ -69,6 +71,7 @@
             DispatchInput::Submit(submission) => self.submit(at, submission),
             DispatchInput::CallerDisconnected(caller) => self.caller_disconnected(at, caller),
             DispatchInput::Cancel(job) => self.cancel(at, &job),
+            DispatchInput::CancelledElsewhere(jobs) => self.cancel_remote(at, &jobs),
             DispatchInput::AgentUp(agent, run, resync) => self.agent_up(at, &agent, run, resync),
             DispatchInput::AgentDown(agent) => self.agent_down(at, &agent),
             DispatchInput::EndpointChanged(agent, info) => self.endpoint_changed(&agent, info),
@@ -87,6 +90,12 @@
         self.jobs.len()
     }
 
+    /// Returns the jobs that were cancelled a short time ago.
+    #[must_use]
+    pub fn cancelled_jobs(&self, now: Instant) -> Vec<CancelledJob> {
+        self.cancelled.all(now).collect()
+    }
+
     /// Returns how many jobs of a service have no task that was assigned or ran.
     #[must_use]
     pub fn waiting(&self, service: &ServiceId) -> usize {
--- a/crates/decisions/src/placement/messages.rs
+++ b/crates/decisions/src/placement/messages.rs
@@ -2,8 +2,8 @@
 
 use {
     chestnutrun_types::{
-        AgentId, AgentUpdate, Assignment, BestEffortJob, DecisionEvent, EndpointInfo, Incarnation,
-        JobId, Resync, Revocation, Route,
+        AgentId, AgentUpdate, Assignment, BestEffortJob, CancelledJob, DecisionEvent, EndpointInfo,
+        Incarnation, JobId, Resync, Revocation, Route,
     },
     std::{
         rc::Rc,
@@ -86,6 +86,8 @@
     CallerDisconnected(CallerId),
     /// A caller cancels a job, which another request may have submitted.
     Cancel(JobId),
+    /// Jobs were cancelled at another entry.
+    CancelledElsewhere(Vec<CancelledJob>),
     /// An agent opened a link and sent its first message there.
     AgentUp(AgentId, Incarnation, Resync),
     /// The link to an agent closed, or a new one replaces it.
@@ -109,6 +111,8 @@
     Assign(AgentId, Assignment),
     /// Takes assignments back: the agent drops or stops their tasks.
     Revoke(AgentId, Revocation),
+    /// Tells the linked entries that a job was cancelled.
+    SpreadCancel(CancelledJob),
     /// Records a decision in the structured log.
     Record(DecisionEvent),
 }
--- a/crates/decisions/tests/crash_site/site.rs
+++ b/crates/decisions/tests/crash_site/site.rs
@@ -127,7 +127,7 @@
                         GuardInput::Revoke("entry".into(), revocation),
                     );
                 }
-                DispatchAction::Record(_) => {}
+                DispatchAction::Record(_) | DispatchAction::SpreadCancel(_) => {}
             }
         }
     }
--- a/crates/decisions/tests/overload_site/site.rs
+++ b/crates/decisions/tests/overload_site/site.rs
@@ -211,7 +211,7 @@
         let now = self.now();
         for action in self.entries[entry].handle(now, input) {
             match action {
-                DispatchAction::Record(_) => {}
+                DispatchAction::Record(_) | DispatchAction::SpreadCancel(_) => {}
                 DispatchAction::Answer(caller, _, outcome) => {
                     if let Some(played) = self.callers.swap_remove(&caller) {
                         let took = self.at - played.arrived_at;
--- a/crates/decisions/tests/repeated_submissions.rs
+++ b/crates/decisions/tests/repeated_submissions.rs
@@ -8,8 +8,8 @@
         CallerId, DispatchAction, DispatchInput, Dispatcher, JobOutcome, Submission,
     },
     chestnutrun_types::{
-        AgentUpdate, Assignment, BestEffortJob, EndKind, EndpointInfo, Now, Reserve, Resources,
-        Resync, Route, StepSpec, TaskEnd,
+        AgentUpdate, Assignment, BestEffortJob, CancelledJob, EndKind, EndpointInfo, Now, Reserve,
+        Resources, Resync, Route, StepSpec, TaskEnd,
     },
     rstest::{fixture, rstest},
     std::{
@@ -276,3 +276,53 @@
     assert_eq!(answers(&repeated), [(SECOND, JobOutcome::Cancelled)]);
     assert_eq!(entry.dispatcher.jobs(), 0);
 }
+
+fn cancelled_elsewhere(remembered_for: Duration) -> DispatchInput {
+    let job = JOB.into();
+    DispatchInput::CancelledElsewhere(vec![CancelledJob {
+        job,
+        remembered_for,
+    }])
+}
+
+/// Returns the jobs that the linked entries are told of.
+fn spread(actions: &[DispatchAction]) -> Vec<CancelledJob> {
+    let jobs = actions.iter().filter_map(|action| match action {
+        DispatchAction::SpreadCancel(cancelled) => Some(cancelled.clone()),
+        _ => None,
+    });
+    jobs.collect()
+}
+
+/// A request to cancel reached another entry than the one that holds the job, whose
+/// tasks went on starting.
+#[rstest]
+fn a_job_that_is_cancelled_at_another_entry_goes_on(mut entry: Entry) {
+    entry.submit(0, FIRST, "payload");
+    let remembered_for = Duration::from_secs(20);
+    let actions = entry.handle(100, cancelled_elsewhere(remembered_for));
+    assert_eq!(answers(&actions), [(FIRST, JobOutcome::Cancelled)]);
+    assert!(has_revocation(&actions), "{actions:?}");
+    let told = spread(&actions);
+    assert_eq!(told.len(), 1, "the entry passes it on");
+    assert_eq!(told[0].remembered_for, remembered_for);
+    let again = entry.handle(101, cancelled_elsewhere(remembered_for));
+    assert_eq!(spread(&again), [], "each entry passes it on once");
+    let copy = entry.submit(5_000, SECOND, "payload");
+    assert_eq!(answers(&copy), [(SECOND, JobOutcome::Cancelled)]);
+}
+
+/// Entries that told one another of a cancelled job each time that a link opened would
+/// remember it for good.
+#[rstest]
+fn a_cancelled_job_is_remembered_as_long_as_entries_tell_of_it(mut entry: Entry) {
+    let told = spread(&entry.handle(0, DispatchInput::Cancel(JOB.into())));
+    let kept_for = told[0].remembered_for;
+    let now = entry.begin + Duration::from_secs(10);
+    let left = entry.dispatcher.cancelled_jobs(now)[0].remembered_for;
+    assert_eq!(left, kept_for.saturating_sub(Duration::from_secs(10)));
+    let odd = cancelled_elsewhere(Duration::MAX);
+    let after = u64::try_from(kept_for.as_millis()).unwrap() + 1;
+    let bounded = spread(&entry.handle(after, odd));
+    assert!(bounded[0].remembered_for <= kept_for);
+}
--- a/crates/dispatch/src/entry_links.rs
+++ b/crates/dispatch/src/entry_links.rs
@@ -72,12 +72,19 @@
             }
             PeerName::Dialed(_) => (Peer::Entry, None),
         };
+        let is_entry = matches!(peer, Peer::Entry);
         self.peers.add(link, peer);
         // A closed link reports `LinkEvent::Down`, which removes it.
         self.peers
             .send(id, Message::Hello(Hello::Entry(self.me.clone())));
         self.peers
             .send(id, Message::RoutingVersion(self.routing.version()));
+        if is_entry {
+            let cancelled = self.dispatcher.cancelled_jobs(Now::read().instant);
+            if !cancelled.is_empty() {
+                self.peers.send(id, Message::CancelledJobs(cancelled));
+            }
+        }
         self.handle_overlay(opened);
         if let Some(member) = member {
             self.handle_overlay(OverlayInput::PeerNamed(id, member));
@@ -129,10 +136,21 @@
             Message::Hello(Hello::Entry(member)) => {
                 self.handle_overlay(OverlayInput::PeerNamed(id, member));
             }
+            Message::CancelledJobs(jobs) => {
+                self.handle_input(DispatchInput::CancelledElsewhere(jobs));
+            }
             other => log::warn!("ignored message {}, which no entry sends", other.kind()),
         }
     }
 
+    /// Tells the linked entries of the jobs that were cancelled since the last call.
+    pub(crate) fn spread_cancelled(&mut self) {
+        let jobs = std::mem::take(&mut self.cancelled);
+        if !jobs.is_empty() {
+            self.peers.send_to_entries(&Message::CancelledJobs(jobs));
+        }
+    }
+
     pub(crate) fn handle_overlay(&mut self, input: OverlayInput) {
         for effect in self.overlay.handle(input) {
             match effect {
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -18,7 +18,7 @@
     },
     chestnutrun_net::{LinkEvent, LinkIds, LinkServerConf, serve_links},
     chestnutrun_protocol::{Hello, Message},
-    chestnutrun_types::{Member, Now, ZoneId},
+    chestnutrun_types::{CancelledJob, Member, Now, ZoneId},
     indexmap::IndexMap,
     std::{net::SocketAddr, time::Duration},
     tokio::{
@@ -79,6 +79,8 @@
     pub(crate) caller_handle: CallerHandle,
     /// Reply channels of the callers that wait for their jobs.
     pub(crate) callers: IndexMap<CallerId, oneshot::Sender<JobOutcome>>,
+    /// Cancelled jobs that the linked entries are not told of yet.
+    pub(crate) cancelled: Vec<CancelledJob>,
     pub(crate) stop_accepting: Option<oneshot::Sender<()>>,
     pub(crate) grace: Duration,
     pub(crate) settings: Box<dyn SettingsFile>,
@@ -130,6 +132,7 @@
             fallback: DirectoryFallback::default(),
             caller_handle,
             callers: IndexMap::new(),
+            cancelled: Vec::new(),
             stop_accepting: Some(conf.stop_accepting),
             grace: conf.grace,
             shutdown: None,
@@ -166,6 +169,7 @@
     }
 
     async fn close(mut self) {
+        self.spread_cancelled();
         self.handle_overlay(OverlayInput::Leave);
         if !self.callers.is_empty() {
             log::warn!(
@@ -192,6 +196,7 @@
         let now = Now::read();
         self.recorder.flush_if_due(now);
         self.handle_input(DispatchInput::Tick);
+        self.spread_cancelled();
         self.handle_overlay(OverlayInput::Tick);
         if let Some(peer) = self
             .routing_sync
@@ -213,6 +218,7 @@
 
     fn run_action(&mut self, action: DispatchAction) {
         match action {
+            DispatchAction::SpreadCancel(job) => self.cancelled.push(job),
             DispatchAction::Record(event) => self.recorder.record(Now::read(), event),
             DispatchAction::Answer(caller, _, outcome) => {
                 if let Some(reply) = self.callers.swap_remove(&caller) {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod assignment;
 mod best_effort_job;
+mod cancelled_job;
 mod configuration;
 mod contract;
 mod decision_event;
@@ -26,6 +27,7 @@
     answer::{JobAnswer, JobStatus, TaskAnswer, TaskOutcome},
     assignment::{AssignedTask, Assignment, Revocation, TaskId, TaskPosition},
     best_effort_job::{BestEffortJob, BestEffortJobError, MAX_PAYLOAD_BYTES, MAX_STEP_TASKS},
+    cancelled_job::CancelledJob,
     configuration::{Configuration, DrainState, RowRevisions},
     contract::{Contract, ContractBuilder, ContractError, Overflow},
     decision_event::DecisionEvent,
