Count the tasks that agents hold against the limit of their step

Cause: the limit was compared with the tasks of one placement only. Ruled out: the crash itself; tasks that are placed in two goes show it without one. Change: a placement begins with the numbers of tasks that agents hold, by step. Measured: tasks_that_are_placed_later_exceed_the_limit_of_their_step failed before (three tasks more at an endpoint that had two) and passes; all tests of placement pass. The numbers are computed once a placement, and read once a task.

--- a/crates/decisions/src/placement/candidates.rs
+++ b/crates/decisions/src/placement/candidates.rs
@@ -1,7 +1,11 @@
 //! Chooses endpoints for the tasks of jobs.
 
 use {
-    crate::placement::{endpoint_view::EndpointView, held_job::HeldJob, held_task::HeldTask},
+    crate::placement::{
+        endpoint_view::EndpointView,
+        held_job::{HeldJob, TaskCounts},
+        held_task::HeldTask,
+    },
     chestnutrun_types::{
         AgentId, EndpointInfo, JobId, Label, Reserve, Resources, StepSpec, TaskPosition, ZoneId,
     },
@@ -132,13 +136,14 @@
             }
         }
         fitting.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let mut held = job.tasks_at_agents();
         for task in job.ready_tasks() {
             let step = job.step(task.at.step);
             // Half of an endpoint's room is left to other entries, which do not
             // know of this choice yet, unless the job finds no room elsewhere.
             let find = |room: &dyn Fn(&Candidate) -> Resources| {
                 fitting.iter().position(|candidate| {
-                    room(candidate).fits(step.need) && candidate.can_take(task, step, &chosen)
+                    room(candidate).fits(step.need) && candidate.can_take(task, step, &held)
                 })
             };
             let place = find(&|candidate| candidate.half).or_else(|| find(&|c| c.usable(job)));
@@ -146,6 +151,9 @@
                 candidate.free = candidate.free.minus(step.need);
                 candidate.half = candidate.half.minus(step.need);
                 candidate.most_tasks -= 1;
+                *held
+                    .entry((candidate.agent.clone(), task.at.step))
+                    .or_default() += 1;
                 chosen
                     .entry(candidate.agent.clone())
                     .or_default()
@@ -197,12 +205,11 @@
         self.reserve.usable(self.free, job.route.priority)
     }
 
-    fn can_take(&self, task: &HeldTask, step: &StepSpec, chosen: &Choice) -> bool {
-        let given = chosen.get(self.agent).map_or(&[][..], Vec::as_slice);
-        let of_step = given.iter().filter(|at| at.step == task.at.step).count();
-        let is_spread = step
-            .most_per_endpoint
-            .is_none_or(|most| of_step < usize::from(most));
+    fn can_take(&self, task: &HeldTask, step: &StepSpec, held: &TaskCounts) -> bool {
+        let is_spread = step.most_per_endpoint.is_none_or(|most| {
+            let of_step = held.get(&(self.agent.clone(), task.at.step));
+            of_step.is_none_or(|count| *count < usize::from(most))
+        });
         self.most_tasks > 0
             && self.free.fits(step.need)
             && has_label(self.info, step)
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -21,6 +21,9 @@
 /// of its tasks waits. A late answer is worth a fifth of an answer in time.
 const LATE_JOB_DIVISOR: usize = 5;
 
+/// Numbers of tasks by agent and step.
+pub(crate) type TaskCounts = IndexMap<(AgentId, StepIndex), usize>;
+
 /// A job that an entry holds until it ends.
 #[derive(Debug)]
 pub(crate) struct HeldJob {
@@ -169,6 +172,17 @@
         holders
     }
 
+    /// Returns how many tasks of each step each agent may hold.
+    pub(crate) fn tasks_at_agents(&self) -> TaskCounts {
+        let mut counts = TaskCounts::new();
+        for task in &self.tasks {
+            if let Some((agent, _)) = task.holder() {
+                *counts.entry((agent.clone(), task.at.step)).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     fn is_ready(&self, task: &HeldTask) -> bool {
         let step = self.steps.get(usize::from(task.at.step));
         let mut after = step.iter().flat_map(|step| &step.after);
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -228,6 +228,28 @@
     assert!(actions.contains(&answer), "{actions:?}");
 }
 
+/// The tasks of a step that may share an endpoint with one other were placed anew after a
+/// loss, and more of them than that began at an endpoint that had two already.
+#[rstest]
+fn tasks_that_are_placed_later_exceed_the_limit_of_their_step(mut entry: Entry) {
+    let spread = StepSpec {
+        most_per_endpoint: Some(2),
+        ..step(5)
+    };
+    entry.update(Duration::ZERO, 10, Vec::new());
+    let begun = entry.submit_steps(Duration::ZERO, 1, vec![spread], route());
+    let begun = assignments(begun).remove(0);
+    assert_eq!(begun.tasks.len(), 2);
+    assert_eq!(
+        assignments(entry.update(ESTIMATE, 10, Vec::new())),
+        [],
+        "two tasks of the step are there already"
+    );
+    let placed = assignments(entry.update(ESTIMATE, 10, ends(&begun, 1)));
+    assert_eq!(placed.len(), 1);
+    assert_eq!(placed[0].tasks.len(), 2, "none is there any more");
+}
+
 /// An agent reports that room is short when the only job that waits finds none. An
 /// entry took that for competition, and refused a job that nobody else kept waiting.
 #[rstest]
