Fence late orders after a planned end of an endpoint

Cause: a start without an answer was carried out by the next incarnation of an endpoint that had ended in a planned way. The agent had raised its token only where one endpoint replaces another. Ruled out: the stop of the start; the new incarnation knows none of it. Change: an agent raises its token when its endpoint says that it has ended. Measured: a_late_start_is_carried_out_after_a_planned_end failed before ("earlier orders are fenced") and passes; all tests of the guard and best_effort_orders pass.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -108,6 +108,9 @@
             .is_some_and(|e| e.info.endpoint == *ended)
         {
             self.end_all_runs(now);
+            // An order that is still on its way may reach a later incarnation, which
+            // then refuses it for its token.
+            self.token += NUMBER_STEP;
             if let Some(ended) = self.endpoint.take() {
                 self.record_endpoint_event(&ended.info, "gone");
                 if let Some(successor) = ended.successor {
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -842,3 +842,21 @@
     let real = guard.handle(later(begin, 1_500), GuardInput::Announced(announcement()));
     assert_eq!(listed_endpoints(real), ["endpoint"]);
 }
+
+/// An endpoint ended in a planned way with an unanswered start on its way, and started
+/// again under its id. It carried the start out, which another endpoint had begun.
+#[rstest]
+fn a_late_start_is_carried_out_after_a_planned_end() {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 0));
+    guard.handle(
+        later(begin, 70),
+        GuardInput::EndpointEnded("endpoint".into()),
+    );
+    let mut again = announcement();
+    again.info.incarnation = 2;
+    let actions = guard.handle(later(begin, 500), GuardInput::Announced(again));
+    let first = lists(actions).remove(0);
+    assert!(first.token > start.token, "earlier orders are fenced");
+}
