Tell of cancelled jobs in a field that earlier builds ignore

Cause: cancelled jobs were told in a message of a new kind. A process of an earlier build refuses it and closes the link, and would get it again as soon as the link opens, for 30 s after each request to cancel: links between entries would not last while a site is upgraded. Read from the code of links; no run of both builds. Change: they stand in a field of the list of entries, which an earlier build ignores.

--- a/crates/dispatch/src/entry_links.rs
+++ b/crates/dispatch/src/entry_links.rs
@@ -9,7 +9,7 @@
     chestnutrun_decisions::{overlay::OverlayInput, placement::DispatchInput},
     chestnutrun_net::{Link, LinkEvent, LinkId, PeerName},
     chestnutrun_protocol::{Hello, Message},
-    chestnutrun_types::{AgentId, Incarnation, Now, RoutingTable},
+    chestnutrun_types::{AgentId, CancelledJob, Incarnation, MemberList, Now, RoutingTable},
 };
 
 impl EntryLoop {
@@ -82,7 +82,7 @@
         if is_entry {
             let cancelled = self.dispatcher.cancelled_jobs(Now::read().instant);
             if !cancelled.is_empty() {
-                self.peers.send(id, Message::CancelledJobs(cancelled));
+                self.peers.send(id, told_as_cancelled(cancelled));
             }
         }
         self.handle_overlay(opened);
@@ -104,7 +104,13 @@
                 }
             }
             Message::Routing(table) => self.update_routing(table, "peer"),
-            Message::Members(list) => self.handle_overlay(OverlayLinks::received(id, list)),
+            Message::Members(mut list) => {
+                let cancelled = std::mem::take(&mut list.cancelled);
+                if !cancelled.is_empty() {
+                    self.handle_input(DispatchInput::CancelledElsewhere(cancelled));
+                }
+                self.handle_overlay(OverlayLinks::received(id, list));
+            }
             message => match self.peers.peer(id).cloned() {
                 Some(Peer::Agent(agent, incarnation)) => {
                     self.handle_agent_message(agent, incarnation, message);
@@ -136,9 +142,6 @@
             Message::Hello(Hello::Entry(member)) => {
                 self.handle_overlay(OverlayInput::PeerNamed(id, member));
             }
-            Message::CancelledJobs(jobs) => {
-                self.handle_input(DispatchInput::CancelledElsewhere(jobs));
-            }
             other => log::warn!("ignored message {}, which no entry sends", other.kind()),
         }
     }
@@ -147,7 +150,7 @@
     pub(crate) fn spread_cancelled(&mut self) {
         let jobs = std::mem::take(&mut self.cancelled);
         if !jobs.is_empty() {
-            self.peers.send_to_entries(&Message::CancelledJobs(jobs));
+            self.peers.send_to_entries(&told_as_cancelled(jobs));
         }
     }
 
@@ -164,3 +167,11 @@
         }
     }
 }
+
+/// Returns the message that tells another entry of cancelled jobs.
+fn told_as_cancelled(cancelled: Vec<CancelledJob>) -> Message {
+    Message::Members(MemberList {
+        cancelled,
+        ..MemberList::default()
+    })
+}
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -2,11 +2,10 @@
 
 use {
     chestnutrun_types::{
-        Acknowledgement, AgentHello, AgentId, AgentUpdate, Assignment, CancelledJob, Configuration,
-        Confirm, Confirmation, EndpointInfo, Fence, FenceReply, Finished, Incarnation, JobRef,
-        JobReply, KeyHash, KnownAgents, Lookup, LookupReply, Member, MemberList, Resync,
-        Revocation, RoutingTable, RoutingVersion, ShardOwner, Start, StartRefused, Submit, Vote,
-        VoteRequest,
+        Acknowledgement, AgentHello, AgentId, AgentUpdate, Assignment, Configuration, Confirm,
+        Confirmation, EndpointInfo, Fence, FenceReply, Finished, Incarnation, JobRef, JobReply,
+        KeyHash, KnownAgents, Lookup, LookupReply, Member, MemberList, Resync, Revocation,
+        RoutingTable, RoutingVersion, ShardOwner, Start, StartRefused, Submit, Vote, VoteRequest,
     },
     serde::{Deserialize, Serialize},
 };
@@ -105,8 +104,6 @@
     RoutingRequest,
     /// To any peer: the routing table, in answer to `RoutingRequest`.
     Routing(RoutingTable),
-    /// Entry to entry: best-effort jobs that callers cancelled.
-    CancelledJobs(Vec<CancelledJob>),
     /// Entry to agent: asks the agent to read the routing table from the
     /// directory, since the directory does not answer the entry.
     DirectoryRequest,
@@ -148,7 +145,6 @@
             Self::RoutingRequest => "routing-request",
             Self::DirectoryRequest => "directory-request",
             Self::Routing(_) => "routing",
-            Self::CancelledJobs(_) => "cancelled-jobs",
         }
     }
 }
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -2,7 +2,9 @@
 
 use {
     chestnutrun_protocol::{CodecError, MAX_FRAME_BYTES, Message, decode, encode},
-    chestnutrun_types::{AgentUpdate, Assignment, Confirm, JobRef, Resync},
+    chestnutrun_types::{
+        AgentUpdate, Assignment, CancelledJob, Confirm, JobRef, MemberList, Resync,
+    },
     ciborium::Value,
     rstest::rstest,
     std::time::Duration,
@@ -72,3 +74,29 @@
     ciborium::into_writer(&value, &mut buf).expect("the value can be encoded");
     assert_eq!(decode(&buf).expect("the frame is a valid message"), message);
 }
+
+/// An earlier build closes a link on a message of an unknown kind, and ignores a field
+/// that it does not know.
+#[test]
+fn cancelled_jobs_are_told_in_a_message_that_an_earlier_build_refuses() {
+    let cancelled = vec![CancelledJob {
+        job: "00000000000000a1".into(),
+        remembered_for: Duration::from_secs(30),
+    }];
+    let list = MemberList {
+        cancelled,
+        ..MemberList::default()
+    };
+    let message = Message::Members(list);
+    let buf = encode(&message).expect("the message can be encoded");
+    assert_eq!(decode(&buf).expect("the frame is a valid message"), message);
+    let mut value = Value::serialized(&message).expect("the message can be encoded");
+    let kinds = value.as_map_mut().expect("a message is a map");
+    assert_eq!(kinds[0].0.as_text(), Some("members"));
+    let fields = kinds[0].1.as_map_mut().expect("its body is a map");
+    fields.retain(|(name, _)| name.as_text() != Some("cancelled"));
+    let mut buf = Vec::new();
+    ciborium::into_writer(&value, &mut buf).expect("the value can be encoded");
+    let empty = Message::Members(MemberList::default());
+    assert_eq!(decode(&buf).expect("the frame is a valid message"), empty);
+}
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -1,7 +1,7 @@
 //! Entries of the site and owners of shards, as recorded in the platform's table.
 
 use {
-    crate::{EntryId, Epoch, Incarnation, Revision, ShardId, ZoneId},
+    crate::{CancelledJob, EntryId, Epoch, Incarnation, Revision, ShardId, ZoneId},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     thiserror::Error,
@@ -80,6 +80,10 @@
     /// its own list.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub digest: Option<u64>,
+    /// Best-effort jobs that callers cancelled. They are told in a list of entries, since
+    /// an earlier build refuses a message of an unknown kind, but ignores a field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cancelled: Vec<CancelledJob>,
 }
 
 /// Entries of which a majority must vote for an ownership; empty if no vote is
