Count tasks at agents only for steps that limit them

Cause: each placement of a job counted the tasks that agents hold, also where no step limits them, which is on the path of every job. Change: only tasks of steps with a limit are counted. Measured: the tests of placement pass (11); no figure of time was taken.

--- a/crates/decisions/src/placement/candidates.rs
+++ b/crates/decisions/src/placement/candidates.rs
@@ -136,7 +136,7 @@
             }
         }
         fitting.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-        let mut held = job.tasks_at_agents();
+        let mut held = job.limited_tasks();
         for task in job.ready_tasks() {
             let step = job.step(task.at.step);
             // Half of an endpoint's room is left to other entries, which do not
@@ -151,9 +151,10 @@
                 candidate.free = candidate.free.minus(step.need);
                 candidate.half = candidate.half.minus(step.need);
                 candidate.most_tasks -= 1;
-                *held
-                    .entry((candidate.agent.clone(), task.at.step))
-                    .or_default() += 1;
+                if step.most_per_endpoint.is_some() {
+                    let of_step = (candidate.agent.clone(), task.at.step);
+                    *held.entry(of_step).or_default() += 1;
+                }
                 chosen
                     .entry(candidate.agent.clone())
                     .or_default()
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -172,11 +172,13 @@
         holders
     }
 
-    /// Returns how many tasks of each step each agent may hold.
-    pub(crate) fn tasks_at_agents(&self) -> TaskCounts {
+    /// Returns how many tasks of each step that limits them each agent may hold.
+    pub(crate) fn limited_tasks(&self) -> TaskCounts {
         let mut counts = TaskCounts::new();
         for task in &self.tasks {
-            if let Some((agent, _)) = task.holder() {
+            if let Some((agent, _)) = task.holder()
+                && self.step(task.at.step).most_per_endpoint.is_some()
+            {
                 *counts.entry((agent.clone(), task.at.step)).or_default() += 1;
             }
         }
