Log requests to cancel

Cause: the logs told that a job was cancelled, not whether its caller had asked for it at this entry or at another one, and nothing of a request for a job that is not held. Change: event `cancel-requested`, of another entry only where the job is held. Measured: the tests of the page of logs and of repeated submissions pass.

--- a/crates/decisions/src/placement/caller_inputs.rs
+++ b/crates/decisions/src/placement/caller_inputs.rs
@@ -117,7 +117,12 @@
         if self.cancelled.insert(now, id.clone()) {
             self.spread_cancel(now, id);
         }
-        self.end_cancelled(now, id);
+        // An id that is too long to be remembered is no job's, and not logged either.
+        if self.cancelled.contains(now, id) {
+            let is_held = self.find_job(id).is_some();
+            self.record_cancel(id, true, is_held);
+            self.end_cancelled(now, id);
+        }
     }
 
     /// Cancels jobs that were cancelled at another entry. Each entry passes a job on
@@ -126,7 +131,10 @@
         for cancelled in jobs {
             if self.cancelled.insert_remote(now, cancelled) {
                 self.spread_cancel(now, &cancelled.job);
-                self.end_cancelled(now, &cancelled.job);
+                if self.find_job(&cancelled.job).is_some() {
+                    self.record_cancel(&cancelled.job, false, true);
+                    self.end_cancelled(now, &cancelled.job);
+                }
             }
         }
     }
@@ -137,6 +145,14 @@
             .extend(cancelled.map(DispatchAction::SpreadCancel));
     }
 
+    fn record_cancel(&mut self, id: &JobId, is_here: bool, is_held: bool) {
+        self.record(DecisionEvent::CancelRequested {
+            job: id.clone(),
+            is_here,
+            is_held,
+        });
+    }
+
     fn end_cancelled(&mut self, now: Instant, id: &JobId) {
         let Some(first) = self.find_job(id) else {
             return;
--- a/crates/observe/tests/logs_page.rs
+++ b/crates/observe/tests/logs_page.rs
@@ -68,6 +68,11 @@
             job: "j".into(),
             crashes: 2,
         },
+        DecisionEvent::CancelRequested {
+            job: "j".into(),
+            is_here: true,
+            is_held: false,
+        },
         DecisionEvent::CallerDisconnected {
             job: "j".into(),
             took_ms: 1,
--- a/crates/types/src/decision_event.rs
+++ b/crates/types/src/decision_event.rs
@@ -105,6 +105,15 @@
         /// Number of the crashes.
         crashes: usize,
     },
+    /// A caller cancelled a job, here or at another entry.
+    CancelRequested {
+        /// The job.
+        job: JobId,
+        /// Whether the request came to this entry.
+        is_here: bool,
+        /// Whether this entry held the job.
+        is_held: bool,
+    },
     /// An entry has no route for a request.
     RouteNotFound {
         /// Host of the request.
@@ -291,6 +300,7 @@
         match self {
             Self::JobTaken { job, .. }
             | Self::JobSubmittedAgain { job, .. }
+            | Self::CancelRequested { job, .. }
             | Self::TasksPlaced { job, .. }
             | Self::TaskReturned { job, .. }
             | Self::JobAnswered { job, .. }
@@ -314,6 +324,7 @@
             Self::TaskReturned { .. } => "task-returned",
             Self::JobAnswered { .. } => "job-answered",
             Self::JobGivenUp { .. } => "job-given-up",
+            Self::CancelRequested { .. } => "cancel-requested",
             Self::RouteNotFound { .. } => "route-not-found",
             Self::CallerDisconnected { .. } => "caller-gone",
             Self::AgentLinked { .. } => "agent-linked",
