Give the tests of a guard's endpoint a file of their own

Change: those tests move to guard_endpoint.rs, what both need to guard_site/. Each check stays; one that looked for starts by hand uses the function for it.

--- /dev/null
+++ b/crates/decisions/tests/guard_endpoint.rs
@@ -0,0 +1,267 @@
+//! Tests of what a guard believes of its endpoint: its clock and leases, announcements of
+//! other endpoints, and later incarnations.
+
+mod guard_site;
+
+use {
+    chestnutrun_decisions::guard::{
+        Answer, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage, ListOrder,
+        ListReply, ListedEnd, ListedRun, OrderFault, RunEnd, StartOrder,
+    },
+    chestnutrun_types::EndKind,
+    guard_site::{
+        announcement, assign_one, assignment, guard_with_runs, later, list_sent_at, lists, starts,
+        usable_guard,
+    },
+    rstest::rstest,
+    std::time::{Duration, Instant},
+};
+
+#[rstest]
+fn a_restarted_endpoint_gets_stop_orders_for_earlier_runs() {
+    let begin = Instant::now();
+    let now = |millis| later(begin, millis);
+    let clock = Duration::from_secs(1);
+    let empty = || Answer::Done(clock, ListReply::default());
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, now(0));
+    let started = GuardInput::Started(1, start.run, Answer::Done(clock, ()));
+    guard.handle(now(1), started);
+    // The endpoint had restarted before the start order reached it.
+    let mut again = announcement();
+    again.info.incarnation = 2;
+    let actions = guard.handle(now(10), GuardInput::Announced(again));
+    assert_eq!(guard.tasks(), 1, "the task may run at the new incarnation");
+    let stop = actions.iter().find_map(|action| match action {
+        GuardAction::Stop(order) => Some(order.clone()),
+        _ => None,
+    });
+    let stop = stop.expect("the run is stopped at the new incarnation");
+    assert_eq!((stop.run, stop.incarnation), (start.run, 2));
+    assert!(stop.token > start.token, "earlier orders are fenced");
+    let stopped = GuardInput::Stopped(2, stop.run, Answer::Done(clock, ()));
+    let order = lists(guard.handle(now(12), stopped)).remove(0);
+    guard.handle(now(14), GuardInput::Listed(2, order, empty()));
+    let order = ListOrder {
+        endpoint: "endpoint".into(),
+        incarnation: 2,
+        until: None,
+        last_processed_end: 0,
+        wait: Duration::from_millis(150),
+        token: stop.token,
+        sent_at: now(13).instant,
+        answer_by: now(200).instant,
+    };
+    guard.handle(now(15), GuardInput::Listed(2, order, empty()));
+    assert_eq!(guard.tasks(), 0, "a later list does not show the run");
+}
+
+#[rstest]
+fn late_orders_are_fenced_at_an_incarnation_that_has_not_announced_itself() {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 1));
+    let ticked = guard.handle(later(begin, 100), GuardInput::Tick);
+    let poll = lists(ticked).remove(0);
+    let other = Answer::Refused(None, OrderFault::OtherIncarnation);
+    let answered = GuardInput::Listed(1, poll, other.clone());
+    let fencing = lists(guard.handle(later(begin, 101), answered)).pop();
+    let fencing = fencing.expect("another list order is sent");
+    assert!(
+        fencing.token > start.token,
+        "orders with the old token are refused"
+    );
+    assert_eq!(fencing.wait, Duration::ZERO, "the endpoint answers at once");
+    // One such order is enough, and nothing starts while the agent does not know
+    // the clock of the new incarnation.
+    let answered = GuardInput::Listed(1, fencing.clone(), other);
+    let actions = guard.handle(later(begin, 102), answered);
+    assert!(lists(actions).is_empty());
+    let assigned = GuardInput::Assign("entry".into(), assignment(2, "00000000000000a2"));
+    let actions = guard.handle(later(begin, 103), assigned);
+    assert_eq!(starts(&actions), []);
+}
+
+/// The clock of an endpoint that began at one second and runs 2% slow, and the moment
+/// at which that clock shows a time, both counted from `begin`.
+fn slow_clock(elapsed: Duration) -> Duration {
+    Duration::from_secs(1) + elapsed.mul_f64(0.98)
+}
+
+fn when_slow_clock_shows(time: Duration) -> Duration {
+    time.saturating_sub(Duration::from_secs(1)).div_f64(0.98)
+}
+
+/// An endpoint with a slow clock carried out orders without answering. Its agent took
+/// the runs for lapsed while the leases that it had asked for still lasted, and they
+/// started elsewhere.
+#[rstest]
+fn runs_count_as_lapsed_before_the_lease_ends_on_a_slow_clock(
+    #[values(1, 17, 40, 55, 130)] last_answer_after: u64,
+) {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 0));
+    let mut lease_end = when_slow_clock_shows(start.until);
+    let started = Answer::Done(slow_clock(Duration::from_millis(1)), ());
+    let mut actions = guard.handle(later(begin, 1), GuardInput::Started(1, start.run, started));
+    let mut ended_at = None;
+    for at in 1..3_000 {
+        let now = later(begin, at);
+        let elapsed = Duration::from_millis(at);
+        let clock = slow_clock(elapsed);
+        for order in lists(std::mem::take(&mut actions)) {
+            let until = order.until.map(when_slow_clock_shows);
+            lease_end = lease_end.max(until.unwrap_or_default());
+            if at <= last_answer_after {
+                let answer = Answer::Done(clock, list_of(&start));
+                let listed = GuardInput::Listed(1, order, answer);
+                actions.extend(guard.handle(now, listed));
+            }
+        }
+        actions.extend(guard.handle(now, GuardInput::Proven("entry".into(), now.instant)));
+        actions.extend(guard.handle(now, GuardInput::Tick));
+        if guard.tasks() == 0 {
+            ended_at = Some(elapsed);
+            break;
+        }
+    }
+    let ended_at = ended_at.expect("the agent notices that the runs are lost");
+    assert!(
+        ended_at >= lease_end,
+        "ended at {ended_at:?}, the lease lasts until {lease_end:?}"
+    );
+}
+
+/// Returns a list that shows only the run that `start` began.
+fn list_of(start: &StartOrder) -> ListReply {
+    let running = ListedRun {
+        task: start.task.clone(),
+        run: start.run,
+        percent: 10,
+    };
+    ListReply {
+        running: vec![running],
+        ended: Vec::new(),
+    }
+}
+
+/// A run lapsed before its start was answered, and its end was listed. The agent
+/// reported that it had never started, so that its caller was refused.
+#[rstest]
+#[case(RunEnd::Lapsed)]
+#[case(RunEnd::Stopped)]
+fn a_run_that_ended_before_its_start_was_answered_counts_as_not_started(#[case] how: RunEnd) {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 0));
+    let end = ListedEnd {
+        number: 1,
+        task: start.task,
+        run: start.run,
+        how,
+    };
+    let reply = ListReply {
+        running: Vec::new(),
+        ended: vec![end],
+    };
+    let now = later(begin, 40);
+    let answer = Answer::Done(Duration::from_secs(1), reply);
+    let actions = guard.handle(now, GuardInput::Listed(1, list_sent_at(now), answer));
+    let kinds = actions.iter().filter_map(|action| match action {
+        GuardAction::Send(_, GuardMessage::Update(update)) => Some(&update.ends),
+        _ => None,
+    });
+    let kinds: Vec<EndKind> = kinds.flatten().map(|end| end.kind).collect();
+    assert_eq!(kinds, [EndKind::Stopped], "{actions:?}");
+}
+
+/// An announcement of another endpoint, with a later start.
+fn other_announcement() -> GuardInput {
+    let mut other = announcement();
+    other.info.endpoint = "other".into();
+    other.info.incarnation = 2;
+    GuardInput::Announced(other)
+}
+
+/// Returns the endpoints that list orders were sent to.
+fn listed_endpoints(actions: Vec<GuardAction>) -> Vec<String> {
+    let orders = lists(actions).into_iter();
+    orders.map(|order| order.endpoint.to_string()).collect()
+}
+
+/// Another writer announced an endpoint that does not exist. The runs of the real one
+/// were taken for ended, although it went on answering.
+#[rstest]
+fn an_announced_endpoint_ends_the_runs_of_one_that_answers() {
+    let begin = Instant::now();
+    let (mut guard, _) = guard_with_runs(begin, 2);
+    guard.handle(later(begin, 10), other_announcement());
+    assert_eq!(guard.tasks(), 2);
+    let now = later(begin, 60);
+    let listed = listed_endpoints(guard.handle(now, GuardInput::Tick));
+    assert_eq!(listed, ["endpoint"]);
+    assert!(guard.takes_work(now.instant));
+}
+
+/// A new endpoint is used once another process answers at the address, or the known one
+/// has been silent until its leases were over.
+#[rstest]
+#[case::another_process_answers(Some(OrderFault::OtherIncarnation), 10)]
+#[case::silent(None, 1_350)]
+fn an_announced_endpoint_is_not_used_though_the_known_one_is_gone(
+    #[case] fault: Option<OrderFault>,
+    #[case] within: u64,
+) {
+    let begin = Instant::now();
+    let (mut guard, _) = guard_with_runs(begin, 2);
+    guard.handle(later(begin, 10), other_announcement());
+    if let Some(fault) = fault {
+        let now = later(begin, 11);
+        let answer = Answer::Refused(None, fault);
+        guard.handle(now, GuardInput::Listed(1, list_sent_at(now), answer));
+    }
+    for at in (11..10 + within).step_by(10) {
+        guard.handle(later(begin, at), GuardInput::Tick);
+        let alive = later(begin, at).instant;
+        guard.handle(later(begin, at), GuardInput::Proven("entry".into(), alive));
+    }
+    let listed = guard.handle(later(begin, 10 + within), GuardInput::Tick);
+    assert_eq!(guard.tasks(), 0);
+    assert!(
+        !listed_endpoints(listed).contains(&"endpoint".to_owned()),
+        "orders go to the new endpoint"
+    );
+}
+
+/// The agent took an invented endpoint for a successor, and then the real one, with its
+/// earlier start, for an outdated announcement.
+#[rstest]
+fn an_invented_endpoint_shuts_out_the_real_one() {
+    let begin = Instant::now();
+    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let order = lists(guard.handle(later(begin, 0), other_announcement())).remove(0);
+    guard.handle(later(begin, 5), GuardInput::Announced(announcement()));
+    let refused = Answer::Refused(None, OrderFault::OtherIncarnation);
+    guard.handle(later(begin, 10), GuardInput::Listed(2, order, refused));
+    let real = guard.handle(later(begin, 1_500), GuardInput::Announced(announcement()));
+    assert_eq!(listed_endpoints(real), ["endpoint"]);
+}
+
+/// An endpoint ended in a planned way with an unanswered start on its way, and started
+/// again under its id. It carried the start out, which another endpoint had begun.
+#[rstest]
+fn a_late_start_is_carried_out_after_a_planned_end() {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 0));
+    guard.handle(
+        later(begin, 70),
+        GuardInput::EndpointEnded("endpoint".into()),
+    );
+    let mut again = announcement();
+    again.info.incarnation = 2;
+    let actions = guard.handle(later(begin, 500), GuardInput::Announced(again));
+    let first = lists(actions).remove(0);
+    assert!(first.token > start.token, "earlier orders are fenced");
+}
