--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -136,6 +136,9 @@
     let status = site.request(0, "DELETE", &path, "", CANCEL_WAIT);
     let acknowledged_at = record.now();
     submitted.join().map_err(|_| "the caller's thread failed")?;
+    // Everything that the rule forbids is seen by then.
+    let seen_at = acknowledged_at + CANCEL + STOP + Duration::from_millis(500);
+    thread::sleep(seen_at.saturating_sub(record.now()));
     let mut findings = Vec::new();
     if is_acknowledged(status) {
         findings = late_starts(record, job, acknowledged_at);
--- a/review/standins-2/relay.rs
+++ b/review/standins-2/relay.rs
@@ -5,7 +5,7 @@
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU32, Ordering::SeqCst},
     },
     thread,
@@ -36,10 +36,8 @@
         self.is_on.store(is_on, SeqCst);
     }
 
-    fn wait_until_off(&self) {
-        while self.is_on.load(SeqCst) {
-            thread::sleep(CHECK_INTERVAL);
-        }
+    fn is_on(&self) -> bool {
+        self.is_on.load(SeqCst)
     }
 }
 
@@ -65,31 +63,54 @@
     Ok(())
 }
 
-fn relay(client: TcpStream, to: SocketAddr, cut: &Cut, silences: Silences) -> io::Result<()> {
-    let process = cut.process.load(SeqCst);
-    let is_silenced = silences == Silences::All || is_socket_of(process, client.peer_addr()?);
-    let cut = is_silenced.then(|| cut.clone());
-    if let Some(cut) = &cut {
-        cut.wait_until_off();
+/// One relayed connection.
+struct Connection {
+    cut: Cut,
+    silences: Silences,
+    opened_by: SocketAddr,
+    /// Whether the cut silences the connection; unknown before the first cut.
+    is_silenced: OnceLock<bool>,
+}
+
+impl Connection {
+    /// Holds up the bytes of a connection that the cut silences.
+    fn wait_for_cut(&self) {
+        while self.cut.is_on() && self.is_silenced() {
+            thread::sleep(CHECK_INTERVAL);
+        }
+    }
+
+    fn is_silenced(&self) -> bool {
+        *self.is_silenced.get_or_init(|| {
+            let process = self.cut.process.load(SeqCst);
+            self.silences == Silences::All || is_socket_of(process, self.opened_by)
+        })
     }
+}
+
+fn relay(client: TcpStream, to: SocketAddr, cut: &Cut, silences: Silences) -> io::Result<()> {
+    let connection = Connection {
+        cut: cut.clone(),
+        silences,
+        opened_by: client.peer_addr()?,
+        is_silenced: OnceLock::new(),
+    };
+    connection.wait_for_cut();
     let server = TcpStream::connect(to)?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
-    let back = (server.try_clone()?, client.try_clone()?, cut.clone());
-    let backwards = thread::spawn(move || pump(back.0, back.1, back.2.as_ref()));
-    pump(client, server, cut.as_ref());
-    // A panic of the thread ends the relay of this connection only.
-    drop(backwards.join());
+    thread::scope(|scope| {
+        scope.spawn(|| pump(&server, &client, &connection));
+        pump(&client, &server, &connection);
+    });
     Ok(())
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, cut: Option<&Cut>) {
+fn pump(mut from: &TcpStream, mut to: &TcpStream, connection: &Connection) {
     let mut buf = [0; 16 * 1024];
     loop {
         let read = from.read(&mut buf).unwrap_or(0);
-        if let Some(cut) = cut {
-            cut.wait_until_off();
-        }
+        connection.wait_for_cut();
         if read == 0 || to.write_all(&buf[..read]).is_err() {
             break;
         }
@@ -99,19 +120,22 @@
     let _ = from.shutdown(Shutdown::Read);
 }
 
-/// Returns whether a process has the socket with this local address.
+/// Returns whether a process has the socket with this local address, or nobody has it any
+/// more. The process opens and closes files meanwhile, so that one look may miss it.
 fn is_socket_of(process: u32, address: SocketAddr) -> bool {
     let Some(inode) = inode_of_socket(address) else {
-        return false;
-    };
-    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else {
-        return false;
+        return true;
     };
     let wanted = format!("socket:[{inode}]");
-    let mut links = files
-        .flatten()
-        .filter_map(|file| fs::read_link(file.path()).ok());
-    links.any(|link| link.to_string_lossy() == wanted)
+    (0..LOOKUPS).any(|_| {
+        let files = fs::read_dir(format!("/proc/{process}/fd"));
+        let mut links = files
+            .into_iter()
+            .flatten()
+            .flatten()
+            .filter_map(|file| fs::read_link(file.path()).ok());
+        links.any(|link| link.to_string_lossy() == wanted)
+    })
 }
 
 /// Returns the inode of the socket with this local address. The table is read again if it
