Review case 10: a draining executor gets tasks after an odd heartbeat

A heartbeat of another writer with a sequence number that is too large makes the agent ignore, but acknowledge, all later ones.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     record::Record,
-    site::{CANCEL, CONFIG_APPLY, Outcome, Output, Plan, STOP, Site, chain_job, config},
+    site::{CANCEL, CONFIG_APPLY, DRAIN, Outcome, Output, Plan, STOP, Site, chain_job, config},
 };
 use std::{
     thread,
@@ -26,6 +26,7 @@
         "cancel-at-cut-entry" => cancel_at_cut_entry(record, is_troubled),
         "cancel-forgotten" => cancel_forgotten(record, is_troubled),
         "cancel-in-removed-queue" => cancel_in_removed_queue(record, is_troubled),
+        "drain-after-odd-heartbeat" => drain_after_odd_heartbeat(record, is_troubled),
         "unread-log" => unread_log(record, is_troubled),
         _ => Err(format!("there is no case {case}").into()),
     }
@@ -182,6 +183,46 @@
     Ok(is_broken.then_some(finding).into_iter().collect())
 }
 
+/// Another writer announces an executor with a number that is too large; later the
+/// executor drains.
+fn drain_after_odd_heartbeat(record: &Record, is_troubled: bool) -> Outcome<Vec<String>> {
+    /// The largest whole number that every JSON decoder keeps exact.
+    const TOO_LARGE: u64 = (1 << 53) - 1;
+    const SERVED_LONGER: Duration = Duration::from_secs(4);
+    let plan = Plan::new(2, 2, config(1, &[("r-desk", QUEUE)], WAIT));
+    let site = Site::start(record, &plan)?;
+    thread::sleep(Duration::from_secs(4));
+    let executor = &site.executors[0];
+    if is_troubled {
+        executor.announce_odd_sequence(TOO_LARGE);
+    }
+    thread::sleep(Duration::from_secs(2));
+    let status = executor.drain();
+    let acknowledged_at = record.now();
+    let mut number = 0xd000;
+    while record.now() < acknowledged_at + DRAIN + SERVED_LONGER {
+        number += 1;
+        let path = format!("{QUEUE}{number:016x}");
+        let entry = u8::from(number % 2 == 1);
+        site.request(entry, "POST", &path, &chain_job(1, 50), WAIT);
+    }
+    let late = record.run_events().into_iter().filter(|event| {
+        event.end.is_none() && event.executor == "i-0" && event.at > acknowledged_at + DRAIN
+    });
+    let findings = late.map(|event| {
+        let after = (event.at - acknowledged_at).as_millis();
+        format!(
+            "DRAIN: task {} starts at executor i-0 {after} ms after `draining` was acknowledged",
+            event.task
+        )
+    });
+    Ok(if status == Some(200) {
+        findings.collect()
+    } else {
+        Vec::new()
+    })
+}
+
 /// Returns whether a request to cancel was answered 2xx or 410.
 fn is_acknowledged(status: Option<u16>) -> bool {
     status.is_some_and(|status| (200..300).contains(&status) || status == 410)
--- a/review/standins-2/executor.rs
+++ b/review/standins-2/executor.rs
@@ -59,6 +59,9 @@
     next_end: u64,
     /// Highest run of each task that was stopped or ended.
     floors: BTreeMap<String, u64>,
+    /// Number of the last announcement.
+    seq: u64,
+    is_draining: bool,
 }
 
 #[derive(Clone)]
@@ -85,6 +88,8 @@
                 ended: Vec::new(),
                 next_end: 1,
                 floors: BTreeMap::new(),
+                seq: 0,
+                is_draining: false,
             })),
             changed: Arc::default(),
             record,
@@ -105,42 +110,59 @@
 
     /// Announces the executor to its agent until the process ends.
     fn announce(&self) {
-        for seq in 1_u64.. {
-            let (to, path, body) = {
-                let state = self.state.lock().unwrap();
-                let conf = &state.conf;
-                let labels: Vec<String> = conf.labels.iter().map(|label| quote(label)).collect();
-                let body = format!(
-                    "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\
-                     \"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"seq\":{seq},\
-                     \"capacity\":{{\"cpu\":{},\"mem_mb\":65536,\"gpu\":0}},\"labels\":[{}],\
-                     \"clock_ms\":{},\"born\":{}}}",
-                    quote(&conf.service),
-                    conf.orders,
-                    quote(&conf.zone),
-                    conf.cpu,
-                    labels.join(","),
-                    state.clock_ms(),
-                    state.born
-                );
-                (
-                    conf.agent,
-                    format!("/chestnutrun/executors/{}", conf.id),
-                    body,
-                )
-            };
-            let answer = http::call(to, "PUT", &path, &[], &body, Duration::from_secs(1));
+        loop {
             // An agent that is down is tried again soon.
-            let is_taken = answer.is_ok_and(|(status, _)| status == 200);
-            let pause = if is_taken {
-                HEARTBEAT_INTERVAL
-            } else {
-                HEARTBEAT_INTERVAL / 5
+            let pause = match self.announce_once() {
+                Some(200) => HEARTBEAT_INTERVAL,
+                _ => HEARTBEAT_INTERVAL / 5,
             };
             thread::sleep(pause);
         }
     }
 
+    /// Announces the executor to its agent, and returns the status of the answer.
+    fn announce_once(&self) -> Option<u16> {
+        let mut state = self.state.lock().unwrap();
+        state.seq += 1;
+        let body = state.announcement(state.seq);
+        drop(state);
+        self.send_announcement(&body)
+    }
+
+    fn send_announcement(&self, body: &str) -> Option<u16> {
+        let (to, id) = {
+            let state = self.state.lock().unwrap();
+            (state.conf.agent, state.conf.id.clone())
+        };
+        let path = format!("/chestnutrun/executors/{id}");
+        let answer = http::call(to, "PUT", &path, &[], body, Duration::from_secs(1));
+        answer.ok().map(|(status, _)| status)
+    }
+
+    /// Announces that the executor drains, and keeps announcing it. Returns the status of
+    /// the answer.
+    pub fn drain(&self) -> Option<u16> {
+        let id = {
+            let mut state = self.state.lock().unwrap();
+            state.is_draining = true;
+            state.conf.id.clone()
+        };
+        let status = self.announce_once();
+        self.record.write(&format!(
+            "executor {id}: announces `draining`, is answered {status:?}"
+        ));
+        status
+    }
+
+    /// Sends an announcement that another writer wrote: it has a number that is too large.
+    pub fn announce_odd_sequence(&self, seq: u64) {
+        let body = self.state.lock().unwrap().announcement(seq);
+        let status = self.send_announcement(&body);
+        self.record.write(&format!(
+            "another writer: announces {body}, is answered {status:?}"
+        ));
+    }
+
     /// Ends the runs whose work is done, and all of them when the lease is over.
     fn advance(&self) {
         let mut state = self.state.lock().unwrap();
@@ -200,6 +222,29 @@
 }
 
 impl State {
+    fn announcement(&self, seq: u64) -> String {
+        let conf = &self.conf;
+        let labels: Vec<String> = conf.labels.iter().map(|label| quote(label)).collect();
+        let state = if self.is_draining {
+            "\"draining\",\"remaining_ms\":5000"
+        } else {
+            "\"ready\""
+        };
+        format!(
+            "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":8,\
+             \"state\":{state},\"cold_remaining_ms\":0,\"seq\":{seq},\
+             \"capacity\":{{\"cpu\":{},\"mem_mb\":65536,\"gpu\":0}},\"labels\":[{}],\
+             \"clock_ms\":{},\"born\":{}}}",
+            quote(&conf.service),
+            conf.orders,
+            quote(&conf.zone),
+            conf.cpu,
+            labels.join(","),
+            self.clock_ms(),
+            self.born
+        )
+    }
+
     fn clock_ms(&self) -> u64 {
         u64::try_from(self.begin.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -30,6 +30,7 @@
 /// `bounds` of the settings that the cases check.
 pub const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 pub const CANCEL: Duration = Duration::from_millis(3_000);
+pub const DRAIN: Duration = Duration::from_millis(2_000);
 pub const STOP: Duration = Duration::from_millis(50);
 const GRACE_S: u32 = 6;
 
@@ -144,6 +145,7 @@
     entries: Vec<Process>,
     agents: Vec<Process>,
     output: Output,
+    pub executors: Vec<Executor>,
     pub store: Store,
     pub cut: Cut,
     record: Record,
@@ -169,6 +171,7 @@
             entries: Vec::new(),
             agents: Vec::new(),
             output: plan.output,
+            executors: Vec::new(),
             store: Store::serve(store_address)?,
             cut: Cut::default(),
             record: record.clone(),
@@ -184,7 +187,7 @@
                 cpu: EXECUTOR_CPU,
                 labels: vec!["a".into(), format!("r1-{number}")],
             };
-            Executor::serve(conf, record.clone())?;
+            site.executors.push(Executor::serve(conf, record.clone())?);
             let role = format!(
                 "role:\n  executors: {}\n  executor: {}\n  service: splint\n",
                 address(net, agent_ip(number), ports.control),
