--- a/review/standins-2/relay.rs
+++ b/review/standins-2/relay.rs
@@ -67,7 +67,9 @@
 struct Connection {
     cut: Cut,
     silences: Silences,
-    opened_by: SocketAddr,
+    /// Both ends of the client's connection, its own first. Several sockets may share one
+    /// local address if they lead to different ones.
+    ends: (SocketAddr, SocketAddr),
     /// Whether the cut silences the connection; unknown before the first cut.
     is_silenced: OnceLock<bool>,
 }
@@ -83,7 +85,7 @@
     fn is_silenced(&self) -> bool {
         *self.is_silenced.get_or_init(|| {
             let process = self.cut.process.load(SeqCst);
-            self.silences == Silences::All || is_socket_of(process, self.opened_by)
+            self.silences == Silences::All || is_socket_of(process, self.ends)
         })
     }
 }
@@ -92,7 +94,7 @@
     let connection = Connection {
         cut: cut.clone(),
         silences,
-        opened_by: client.peer_addr()?,
+        ends: (client.peer_addr()?, client.local_addr()?),
         is_silenced: OnceLock::new(),
     };
     connection.wait_for_cut();
@@ -120,10 +122,10 @@
     let _ = from.shutdown(Shutdown::Read);
 }
 
-/// Returns whether a process has the socket with this local address, or nobody has it any
+/// Returns whether a process has the socket with these ends, or nobody has it any
 /// more. The process opens and closes files meanwhile, so that one look may miss it.
-fn is_socket_of(process: u32, address: SocketAddr) -> bool {
-    let Some(inode) = inode_of_socket(address) else {
+fn is_socket_of(process: u32, ends: (SocketAddr, SocketAddr)) -> bool {
+    let Some(inode) = inode_of_socket(ends) else {
         return true;
     };
     let wanted = format!("socket:[{inode}]");
@@ -138,20 +140,17 @@
     })
 }
 
-/// Returns the inode of the socket with this local address. The table is read again if it
-/// lacks the socket, since a table that changes meanwhile may be read with gaps.
-fn inode_of_socket(address: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(address) = address else {
-        return None;
-    };
-    let ip = u32::from_ne_bytes(address.ip().octets());
-    let local = format!("{ip:08X}:{:04X}", address.port());
+/// Returns the inode of the socket with these ends. The table is read again if it lacks the
+/// socket, since a table that changes meanwhile may be read with gaps.
+fn inode_of_socket(ends: (SocketAddr, SocketAddr)) -> Option<String> {
+    let (own, other) = (table_form(ends.0)?, table_form(ends.1)?);
     for _ in 0..LOOKUPS {
         let sockets = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
         let mut rows = sockets
             .lines()
             .map(|line| line.split_whitespace().collect::<Vec<_>>());
-        let row = rows.find(|columns| columns.get(1) == Some(&local.as_str()));
+        let row = rows
+            .find(|row| row.get(1) == Some(&own.as_str()) && row.get(2) == Some(&other.as_str()));
         let inode = row.and_then(|columns| columns.get(9).map(|inode| (*inode).to_owned()));
         if inode.as_deref().is_some_and(|inode| inode != "0") {
             return inode;
@@ -160,3 +159,12 @@
     }
     None
 }
+
+/// Returns an address as the system's table of sockets shows it.
+fn table_form(address: SocketAddr) -> Option<String> {
+    let SocketAddr::V4(address) = address else {
+        return None;
+    };
+    let ip = u32::from_ne_bytes(address.ip().octets());
+    Some(format!("{ip:08X}:{:04X}", address.port()))
+}
