--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -148,9 +148,11 @@
     Ok(findings)
 }
 
-/// Nobody reads the logs of the processes while all entries but one are away for a while.
+/// Nobody reads the logs of the processes while all entries are killed a few times.
 fn unread_log(record: &Record, is_troubled: bool) -> Outcome<Vec<String>> {
-    const AWAY: Duration = Duration::from_secs(60);
+    const KILLS: usize = 4;
+    const DOWN: Duration = Duration::from_millis(9_500);
+    const UP: Duration = Duration::from_secs(2);
     const RECOVERY: Duration = Duration::from_secs(12);
     const REQUESTS: usize = 40;
     let mut plan = Plan::new(4, 3, config(1, &[("r-desk", QUEUE)], WAIT));
@@ -172,9 +174,12 @@
     record.write(&format!(
         "before: {before} of {REQUESTS} requests are served"
     ));
-    site.kill_entries_from(1);
-    thread::sleep(AWAY);
-    site.start_entries_from(1)?;
+    for _ in 0..KILLS {
+        site.kill_entries_from(0);
+        thread::sleep(DOWN);
+        site.start_entries_from(0)?;
+        thread::sleep(UP);
+    }
     thread::sleep(RECOVERY);
     let after = serve(&site, 0xc000);
     record.write(&format!("after: {after} of {REQUESTS} requests are served"));
