Check a configuration before it is sent

Cause: operators send routing tables and contracts that hold routes no request can match, services that nobody configured, or limits that contradict one another, and learn of it from refused callers. The command check-config knew settings files only.

--- a/crates/cli/src/arguments/command.rs
+++ b/crates/cli/src/arguments/command.rs
@@ -2,9 +2,10 @@
 
 use {
     crate::arguments::{
-        CallerOptions, CommonOptions, ContractTerms, ExplainOptions, JobSource, OperatorOptions,
-        TimelineOptions,
+        CallerOptions, CheckOptions, CommonOptions, ContractTerms, ExplainOptions, JobSource,
+        OperatorOptions, TimelineOptions,
         caller_options::{caller_options, common},
+        check_options::check_options,
         contract_terms::contract_terms,
         explain_options::explain_options,
         job_source::job_source,
@@ -13,7 +14,6 @@
     },
     bpaf::Bpaf,
     humantime::Duration,
-    std::path::PathBuf,
 };
 
 /// Default of `submit --wait`.
@@ -131,13 +131,10 @@
     /// Explain from logs why a best-effort job ended as it did, or list jobs.
     #[bpaf(command)]
     Explain(#[bpaf(external(explain_options))] ExplainOptions),
-    /// Check settings files of entries, agents and this command.
+    /// Check settings files of entries, agents and this command, and contracts before they
+    /// are sent.
     #[bpaf(command("check-config"))]
-    CheckConfig {
-        /// Settings files to check.
-        #[bpaf(positional("FILE"), some("give at least one file"), complete_shell(bpaf::ShellComp::File { mask: None }))]
-        files: Vec<PathBuf>,
-    },
+    CheckConfig(#[bpaf(external(check_options))] CheckOptions),
 }
 
 /// Commands for contracts.
--- a/crates/cli/src/arguments/mod.rs
+++ b/crates/cli/src/arguments/mod.rs
@@ -1,6 +1,7 @@
 //! Commands and options of the command line.
 
 mod caller_options;
+mod check_options;
 mod command;
 mod contract_terms;
 mod explain_options;
@@ -10,6 +11,7 @@
 
 pub use {
     caller_options::{CallerOptions, CommonOptions},
+    check_options::CheckOptions,
     command::{Command, ContractCommand, command},
     contract_terms::ContractTerms,
     explain_options::ExplainOptions,
--- a/crates/cli/src/operators/mod.rs
+++ b/crates/cli/src/operators/mod.rs
@@ -2,6 +2,7 @@
 
 mod change_contract;
 mod check_config;
+mod check_contracts;
 mod contracts;
 mod drain;
 mod explain;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -38,7 +38,8 @@
             | Self::Status { common, .. }
             | Self::Timeline { common, .. } => common.json,
             Self::Contract(command) => command.wants_json(),
-            Self::Explain(_) | Self::CheckConfig { .. } => false,
+            Self::CheckConfig(options) => options.json,
+            Self::Explain(_) => false,
         }
     }
 }
@@ -93,7 +94,7 @@
             options,
         } => operators::timeline(operator, &common, options).await,
         Command::Explain(options) => operators::explain(&options),
-        Command::CheckConfig { files } => operators::check_config(&files),
+        Command::CheckConfig(options) => operators::check_config(&options),
     }
 }
 
--- a/crates/cli/tests/sessions.rs
+++ b/crates/cli/tests/sessions.rs
@@ -239,6 +239,34 @@
     });
 }
 
+#[rstest]
+fn contracts_are_checked_before_they_are_sent() {
+    block_on(async {
+        let session = Session::start().await;
+        let folder = session.site.folder().display().to_string();
+        let mut page = session.json("contract list");
+        session.write("now.json", &page.to_string());
+        let check = format!("check-config --in-force {folder}/now.json {folder}/next.json");
+        page["contracts"]["letters"]["weight"] = json!(7);
+        session.write("next.json", &page.to_string());
+        let out = session.run(&check);
+        assert_eq!(out.status.code(), Some(0), "{}", text(&out.stderr));
+        let shown = text(&out.stdout);
+        assert!(
+            shown.contains("changed: contracts.letters.weight: "),
+            "{shown}"
+        );
+        page["contracts"]["letters"]["weight"] = json!(0);
+        session.write("next.json", &page.to_string());
+        let out = session.run(&format!("{check} --json"));
+        assert_eq!(out.status.code(), Some(2));
+        let shown: Value = serde_json::from_slice(&out.stdout).unwrap();
+        let problem = &shown[0]["report"]["problems"][0];
+        assert_eq!(problem["place"], json!("contracts.letters"), "{shown}");
+        session.site.close();
+    });
+}
+
 #[rstest]
 fn an_operator_creates_and_changes_a_contract() {
     block_on(async {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 mod assignment;
 mod best_effort_job;
 mod cancelled_job;
+mod config_check;
 mod configuration;
 mod contract;
 mod decision_event;
@@ -28,6 +29,7 @@
     assignment::{AssignedTask, Assignment, Revocation, TaskId, TaskPosition},
     best_effort_job::{BestEffortJob, BestEffortJobError, MAX_PAYLOAD_BYTES, MAX_STEP_TASKS},
     cancelled_job::CancelledJob,
+    config_check::{ConfigChange, ConfigProblem, ConfigReport, Severity},
     configuration::{Configuration, DrainState, RowRevisions},
     contract::{Contract, ContractBuilder, ContractError, Overflow},
     decision_event::DecisionEvent,
