Evacuate availability zones on request

Cause: an operator's request to evacuate a zone was a row that no process read, so tasks went on starting there.

Change: entries follow the requests in the feed that brings the routing table, every process keeps the set of evacuated zones with the revision of the store at which it is known and passes a changed set on to all its links, agents start nothing in an evacuated zone (nor before they know the zones), entries place nothing there and refuse jobs that only such zones could hold.

--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -126,6 +126,7 @@
         }
         self.stop_older_attempts(now, entry, assignment.id);
         self.mark_stale();
+        self.return_evacuated(now);
         if !self.takes_work(now) {
             self.return_waiting(now);
         }
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         crashes::CrashReports,
+        evacuation::ZoneGate,
         guard::{
             FencingToken, GuardAction, GuardInput, contention::Contention,
             endpoint_state::EndpointState, entry_state::EntryState, run::Phase, runs::Runs,
@@ -32,6 +33,7 @@
     pub(super) runs: Runs,
     pub(super) contention: Contention,
     pub(super) crashes: CrashReports,
+    pub(super) gate: ZoneGate,
     pub(super) is_leaving: bool,
     pub(super) actions: Vec<GuardAction>,
 }
@@ -48,6 +50,7 @@
             runs: Runs::default(),
             contention: Contention::default(),
             crashes: CrashReports::default(),
+            gate: ZoneGate::default(),
             is_leaving: false,
             actions: Vec::new(),
         }
@@ -77,6 +80,7 @@
             GuardInput::Listed(endpoint, order, answer) => {
                 self.handle_list_answer(at, endpoint, &order, answer);
             }
+            GuardInput::ZonesChanged(gate) => self.change_gate(gate),
             GuardInput::Leave => self.leave(at),
             GuardInput::Tick => self.tick(at),
         }
@@ -110,7 +114,7 @@
     #[must_use]
     pub fn takes_work(&self, now: Instant) -> bool {
         let endpoint = self.endpoint.as_ref();
-        !self.is_leaving && endpoint.is_some_and(|e| e.takes_work(now))
+        !self.is_leaving && self.obstacle().is_none() && endpoint.is_some_and(|e| e.takes_work(now))
     }
 
     /// Returns the next deadline: a delayed update, a task that has waited too
--- a/crates/decisions/src/guard/messages.rs
+++ b/crates/decisions/src/guard/messages.rs
@@ -1,7 +1,7 @@
 //! Inputs and actions of the guard, and the orders to the endpoint.
 
 use {
-    crate::guard::EndpointTime,
+    crate::{evacuation::ZoneGate, guard::EndpointTime},
     chestnutrun_types::{
         AgentUpdate, Assignment, DecisionEvent, EndpointId, EndpointInfo, EntryId, Incarnation,
         Resync, Revocation, RunNumber, TaskId, ZoneId,
@@ -58,6 +58,8 @@
     Stopped(Incarnation, RunNumber, Answer<()>),
     /// The endpoint answered a list order, or the order failed.
     Listed(Incarnation, ListOrder, Answer<ListReply>),
+    /// The zones in which tasks may start changed.
+    ZonesChanged(ZoneGate),
     /// The agent must shut down.
     Leave,
     /// Time passed.
--- a/crates/decisions/src/guard/mod.rs
+++ b/crates/decisions/src/guard/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint_state;
 mod entry_side;
 mod entry_state;
+mod evacuation;
 mod guard_machine;
 mod health;
 mod lists;
--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -75,6 +75,7 @@
     }
 
     pub(super) fn start_waiting(&mut self, now: Instant) {
+        self.return_evacuated(now);
         if !self.takes_work(now) {
             return;
         }
--- a/crates/decisions/src/placement/agent_inputs.rs
+++ b/crates/decisions/src/placement/agent_inputs.rs
@@ -42,6 +42,7 @@
         });
         let view = EndpointView::new(incarnation, resync.info);
         self.views.insert(agent.clone(), view);
+        self.update_gate(agent);
         self.changes.agents.insert(agent.clone());
         if is_same {
             self.resync(now, agent, &resync.live, resync.ends);
@@ -152,6 +153,7 @@
         view.info = info;
         self.changes.agents.insert(agent.clone());
         self.record(event);
+        self.update_gate(agent);
         if is_new {
             // The agent reports an endpoint only once earlier runs there ended.
             self.requeue_in_doubt(agent);
--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -3,11 +3,11 @@
 use {
     crate::{
         crashes::CrashCounts,
+        evacuation::ZoneGate,
         placement::{
             CallerId, DispatchAction, DispatchInput, JobOutcome, RefusalReason,
             backlog::Backlog,
             cancelled_jobs::CancelledJobs,
-            candidates::can_ever_fit,
             changes::Changes,
             endpoint_view::EndpointView,
             held_job::HeldJob,
@@ -44,6 +44,7 @@
     /// Waiting work at the last tick.
     pub(super) backlogs: IndexMap<ServiceId, Backlog>,
     pub(super) crashes: CrashCounts,
+    pub(super) gate: ZoneGate,
     pub(super) actions: Vec<DispatchAction>,
 }
 
@@ -65,6 +66,7 @@
             run_times: RunTimesByRoute::default(),
             backlogs: IndexMap::new(),
             crashes: CrashCounts::default(),
+            gate: ZoneGate::default(),
             actions: Vec::new(),
         }
     }
@@ -81,6 +83,7 @@
             DispatchInput::AgentDown(agent) => self.agent_down(at, &agent),
             DispatchInput::EndpointChanged(agent, info) => self.endpoint_changed(&agent, info),
             DispatchInput::Update(agent, update) => self.agent_updated(at, &agent, update),
+            DispatchInput::ZonesChanged(gate) => self.change_gate(at, gate),
             DispatchInput::AnswerAllBy(by) => self.answer_all_by(by),
             DispatchInput::Tick => self.tick(at),
         }
@@ -120,10 +123,11 @@
             .count()
     }
 
-    /// Returns whether at least one endpoint can be used.
+    /// Returns whether at least one endpoint is linked. While all of them are in evacuated
+    /// zones, jobs are refused at once.
     #[must_use]
     pub fn has_endpoints(&self) -> bool {
-        self.views.values().any(|view| view.usable().is_some())
+        self.views.values().any(|view| view.linked().is_some())
     }
 
     pub(super) fn answer_all_by(&mut self, by: Instant) {
@@ -210,9 +214,7 @@
         if !self.has_endpoints() {
             return Some(RefusalReason::NoEndpoint);
         }
-        let known = self.views.values().filter_map(|view| view.info.as_ref());
-        let endpoints = known.chain(self.known_endpoints.may_return());
-        (!can_ever_fit(&endpoints, job)).then_some(RefusalReason::NeverFits)
+        self.misfit(job)
     }
 
     /// Ends a job without a result: as refused if nothing can have run, else as
--- a/crates/decisions/src/placement/endpoint_view.rs
+++ b/crates/decisions/src/placement/endpoint_view.rs
@@ -23,6 +23,8 @@
     /// When the link closed; none while it is open.
     pub(crate) unlinked_at: Option<Instant>,
     pub(crate) info: Option<EndpointInfo>,
+    /// Whether no task may start in the endpoint's zone.
+    pub(crate) is_evacuated: bool,
     reported: AgentUpdate,
     reported_at: Option<Instant>,
     /// Claims of assignments that the agent's last update does not include.
@@ -35,6 +37,7 @@
             incarnation,
             unlinked_at: None,
             info,
+            is_evacuated: false,
             reported: AgentUpdate::default(),
             reported_at: None,
             claims: VecDeque::new(),
@@ -104,7 +107,12 @@
     }
 
     /// Returns the endpoint if the agent is linked and has one.
-    pub(crate) fn usable(&self) -> Option<&EndpointInfo> {
+    pub(crate) fn linked(&self) -> Option<&EndpointInfo> {
         self.info.as_ref().filter(|_| self.unlinked_at.is_none())
     }
+
+    /// Returns the endpoint if tasks may be assigned to it.
+    pub(crate) fn usable(&self) -> Option<&EndpointInfo> {
+        self.linked().filter(|_| !self.is_evacuated)
+    }
 }
--- a/crates/decisions/src/placement/messages.rs
+++ b/crates/decisions/src/placement/messages.rs
@@ -1,6 +1,7 @@
 //! Inputs and actions of the dispatcher.
 
 use {
+    crate::evacuation::ZoneGate,
     chestnutrun_types::{
         AgentId, AgentUpdate, Assignment, BestEffortJob, CancelledJob, DecisionEvent, EndpointInfo,
         Incarnation, JobId, Resync, Revocation, Route,
@@ -39,6 +40,8 @@
     NeverFits,
     /// The job runs for longer than its caller waits.
     NoTime,
+    /// Only endpoints in evacuated zones can hold one of the tasks.
+    Evacuated,
 }
 
 /// How a job ended for its caller.
@@ -72,6 +75,7 @@
             Self::Refused(RefusalReason::NoEndpoint, _) => "refused-no-endpoint",
             Self::Refused(RefusalReason::NeverFits, _) => "refused-never-fits",
             Self::Refused(RefusalReason::NoTime, _) => "refused-no-time",
+            Self::Refused(RefusalReason::Evacuated, _) => "refused-evacuated",
             Self::Expired => "expired",
             Self::Cancelled => "cancelled",
             Self::CancelledUnstarted => "cancelled-unstarted",
@@ -99,6 +103,8 @@
     EndpointChanged(AgentId, Option<EndpointInfo>),
     /// An agent reports free room and ended tasks.
     Update(AgentId, AgentUpdate),
+    /// The zones in which tasks may start changed.
+    ZonesChanged(ZoneGate),
     /// Every held job must be answered by this moment.
     AnswerAllBy(Instant),
     /// Time passed; late jobs expire or are refused.
--- a/crates/decisions/src/placement/mod.rs
+++ b/crates/decisions/src/placement/mod.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod dispatcher;
 mod endpoint_view;
+mod evacuation;
 mod held_job;
 mod held_task;
 mod known_endpoints;
--- a/crates/decisions/tests/guard_endpoint.rs
+++ b/crates/decisions/tests/guard_endpoint.rs
@@ -4,17 +4,23 @@
 mod guard_site;
 
 use {
-    chestnutrun_decisions::guard::{
-        Answer, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage, ListOrder,
-        ListReply, ListedEnd, ListedRun, OrderFault, RunEnd, StartOrder,
+    chestnutrun_decisions::{
+        evacuation::ZoneGate,
+        guard::{
+            Answer, GuardAction, GuardConf, GuardInput, GuardMachine, GuardMessage, ListOrder,
+            ListReply, ListedEnd, ListedRun, OrderFault, RunEnd, StartOrder,
+        },
     },
-    chestnutrun_types::EndKind,
+    chestnutrun_types::{AgentUpdate, EndKind},
     guard_site::{
         announcement, assign_one, assignment, guard_with_runs, later, list_sent_at, lists, starts,
         usable_guard,
     },
     rstest::rstest,
-    std::time::{Duration, Instant},
+    std::{
+        rc::Rc,
+        time::{Duration, Instant},
+    },
 };
 
 #[rstest]
@@ -265,3 +271,64 @@
     let first = lists(actions).remove(0);
     assert!(first.token > start.token, "earlier orders are fenced");
 }
+
+fn gate(zones: &[&str]) -> ZoneGate {
+    ZoneGate::Except(Rc::new(zones.iter().map(|zone| (*zone).into()).collect()))
+}
+
+fn updates(actions: &[GuardAction]) -> Vec<&AgentUpdate> {
+    let updates = actions.iter().filter_map(|action| match action {
+        GuardAction::Send(_, GuardMessage::Update(update)) => Some(update),
+        _ => None,
+    });
+    updates.collect()
+}
+
+fn assign(guard: &mut GuardMachine, begin: Instant, at: u64, id: u64) -> Vec<GuardAction> {
+    guard.handle(
+        later(begin, at),
+        GuardInput::Proven("entry".into(), later(begin, at).instant),
+    );
+    let assigned = assignment(id, &format!("{id:016x}"));
+    guard.handle(
+        later(begin, at),
+        GuardInput::Assign("entry".into(), assigned),
+    )
+}
+
+#[rstest]
+#[case::evacuated(gate(&["zone"]), true)]
+#[case::unknown(ZoneGate::Unknown, true)]
+#[case::another_zone(gate(&["other"]), false)]
+#[case::none(ZoneGate::default(), false)]
+fn a_task_starts_in_an_evacuated_zone(#[case] gate: ZoneGate, #[case] is_shut: bool) {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    guard.handle(later(begin, 0), GuardInput::ZonesChanged(gate));
+    let actions = assign(&mut guard, begin, 1, 1);
+    assert_eq!(starts(&actions).is_empty(), is_shut, "{actions:?}");
+    let ends = updates(&actions).into_iter().flat_map(|u| &u.ends);
+    let returned = ends.filter(|end| end.kind == EndKind::NotStarted).count();
+    assert_eq!(returned, usize::from(is_shut), "{actions:?}");
+}
+
+/// What runs goes on, what waits goes back at once, and after the request was taken back
+/// tasks start again.
+#[rstest]
+fn an_evacuation_stops_runs_or_keeps_waiting_tasks() {
+    let begin = Instant::now();
+    let (mut guard, runs) = guard_with_runs(begin, 8);
+    assign(&mut guard, begin, 2, 9);
+    assert_eq!(guard.tasks(), 9, "the ninth task waits for room");
+    let requested = guard.handle(later(begin, 3), GuardInput::ZonesChanged(gate(&["zone"])));
+    let is_stop = |action: &GuardAction| matches!(action, GuardAction::Stop(_));
+    assert!(!requested.iter().any(is_stop), "{requested:?}");
+    assert_eq!(guard.tasks(), runs.len());
+    let reported = updates(&requested);
+    assert_eq!(reported.len(), 1, "{requested:?}");
+    assert_eq!((reported[0].ends.len(), reported[0].most_tasks), (1, 0));
+    let (mut guard, _) = guard_with_runs(begin, 1);
+    guard.handle(later(begin, 3), GuardInput::ZonesChanged(gate(&["zone"])));
+    guard.handle(later(begin, 4), GuardInput::ZonesChanged(gate(&[])));
+    assign_one(&mut guard, later(begin, 5));
+}
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -1,8 +1,11 @@
 //! The order in which an entry places the tasks of waiting jobs.
 
 use {
-    chestnutrun_decisions::placement::{
-        DispatchAction, DispatchInput, Dispatcher, JobOutcome, RefusalReason, Submission,
+    chestnutrun_decisions::{
+        evacuation::ZoneGate,
+        placement::{
+            DispatchAction, DispatchInput, Dispatcher, JobOutcome, RefusalReason, Submission,
+        },
     },
     chestnutrun_types::{
         AgentUpdate, Assignment, BestEffortJob, EndKind, EndpointInfo, Now, Reserve, Resources,
@@ -600,3 +603,70 @@
     );
     assert_eq!(placed[0].tasks.len(), 10);
 }
+
+fn gate(zones: &[&str]) -> DispatchInput {
+    let zones = zones.iter().map(|zone| (*zone).into()).collect();
+    DispatchInput::ZonesChanged(ZoneGate::Except(Rc::new(zones)))
+}
+
+/// While every zone is evacuated callers are refused at once, with a Retry-After; a job that
+/// came back from an agent is refused too. Once the request is taken back jobs run again.
+#[rstest]
+fn jobs_wait_for_an_evacuated_zone(mut entry: Entry) {
+    entry.update(Duration::ZERO, 10, Vec::new());
+    entry.tick_between(Duration::ZERO, SETTLED);
+    let assigned = assignments(entry.submit(SETTLED, 1, 1));
+    assert_eq!(assigned.len(), 1);
+    let requested = entry.handle_after(SETTLED, gate(&["zone"]));
+    assert!(
+        answers(&requested).is_empty(),
+        "the agent still has the task"
+    );
+    let end = TaskEnd {
+        assignment: assigned[0].id,
+        at: assigned[0].tasks[0].at,
+        run: 0,
+        kind: EndKind::NotStarted,
+        ran: Duration::ZERO,
+    };
+    let mut actions = entry.update(SETTLED, 10, vec![end]);
+    actions.extend(entry.tick_between(SETTLED + TICK, SETTLED + TICK));
+    assert!(
+        is_refused(&actions, RefusalReason::Evacuated),
+        "{actions:?}"
+    );
+    let actions = entry.submit(SETTLED + TICK, 2, 1);
+    let refused = answers(&actions);
+    let least = Duration::from_secs(1);
+    assert!(
+        matches!(refused[..], [(2, JobOutcome::Refused(RefusalReason::Evacuated, after))] if after >= least),
+        "{actions:?}"
+    );
+    assert!(entry.dispatcher.has_endpoints(), "the entry stays ready");
+    entry.handle_after(SETTLED + TICK, gate(&[]));
+    assert_eq!(assignments(entry.submit(SETTLED + TICK, 3, 1)).len(), 1);
+}
+
+#[rstest]
+fn jobs_are_placed_in_an_evacuated_zone_while_another_has_room(mut entry: Entry) {
+    entry.update(Duration::ZERO, 10, Vec::new());
+    let mut other = info();
+    (other.endpoint, other.zone) = ("endpoint-2".into(), "zone-2".into());
+    let up = DispatchInput::AgentUp("agent-2".into(), 1, resync(other));
+    entry.handle_after(Duration::ZERO, up);
+    let update = AgentUpdate {
+        free: room(10),
+        most_tasks: u16::MAX,
+        slowness: 1.0,
+        ..AgentUpdate::default()
+    };
+    let update = DispatchInput::Update("agent-2".into(), update);
+    entry.handle_after(Duration::ZERO, update);
+    entry.handle_after(Duration::ZERO, gate(&["zone"]));
+    let actions = entry.submit(Duration::ZERO, 1, 10);
+    let places = actions.iter().filter_map(|action| match action {
+        DispatchAction::Assign(agent, assignment) => Some((&**agent, assignment.tasks.len())),
+        _ => None,
+    });
+    assert_eq!(places.collect::<Vec<_>>(), [("agent-2", 10)]);
+}
--- a/crates/dispatch/src/agent_links.rs
+++ b/crates/dispatch/src/agent_links.rs
@@ -5,7 +5,9 @@
         AgentLoop, DirectoryEvent,
         overlay_links::{OverlayEffect, OverlayLinks},
     },
-    chestnutrun_decisions::{guard::GuardInput, overlay::OverlayInput},
+    chestnutrun_decisions::{
+        evacuation::EvacuationInput, guard::GuardInput, overlay::OverlayInput,
+    },
     chestnutrun_net::{Link, LinkEvent, LinkId},
     chestnutrun_protocol::{Hello, Message},
     chestnutrun_types::{EntryId, Member, Now, RoutingTable},
@@ -28,6 +30,12 @@
             DirectoryEvent::Reachable(is_up) => self.recorder.record_dependency("directory", is_up),
             DirectoryEvent::Note(event) => self.recorder.record(Now::read(), event),
             DirectoryEvent::Routing(table) => self.update_routing(table, "directory"),
+            DirectoryEvent::Evacuated(zones) => {
+                self.handle_evacuation(EvacuationInput::Read(zones));
+            }
+            DirectoryEvent::ZoneChanges(changes) => {
+                self.handle_evacuation(EvacuationInput::Changed(changes));
+            }
         }
     }
 
@@ -37,6 +45,7 @@
                 let id = link.id();
                 self.links.insert(id, EntryLink { link, member: None });
                 self.send(id, Message::RoutingVersion(self.routing.version()));
+                self.handle_evacuation(EvacuationInput::LinkOpened(id));
                 self.handle_overlay(OverlayLinks::opened(id, &peer));
             }
             LinkEvent::Message(id, message) => self.handle_message(id, message),
@@ -51,6 +60,7 @@
 
     fn handle_link_down(&mut self, id: LinkId) {
         self.routing_sync.remove_peer(id);
+        self.handle_evacuation(EvacuationInput::LinkClosed(id));
         self.handle_overlay(OverlayInput::LinkClosed(id));
         let entry = self.entry_of_link(id);
         if let Some(open) = self.links.swap_remove(&id) {
@@ -84,7 +94,12 @@
                     ));
                 }
             }
-            Message::Members(list) => self.handle_overlay(OverlayLinks::received(id, list)),
+            Message::Members(mut list) => {
+                if let Some(zones) = list.evacuated.take() {
+                    self.handle_evacuation(EvacuationInput::Received(id, zones));
+                }
+                self.handle_overlay(OverlayLinks::received(id, list));
+            }
             Message::RoutingVersion(version) => {
                 let now = Now::read().instant;
                 self.routing_sync
--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -11,6 +11,7 @@
         routing_sync::RoutingSync,
     },
     chestnutrun_decisions::{
+        evacuation::{EvacuationConf, EvacuationInput, EvacuationMachine},
         guard::{GuardConf, GuardInput, GuardMachine},
         overlay::{OverlayConf, OverlayInput, ZoneOrder},
     },
@@ -40,6 +41,11 @@
 /// no link to an entry.
 const DIRECTORY_READ_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long an agent starts nothing while it does not know the evacuated zones. Entries
+/// tell them as links open; they do not know them only if the directory was away since they
+/// began to run, and if they are earlier builds.
+const MAX_ZONES_UNKNOWN: Duration = Duration::from_secs(10);
+
 /// Part of the platform's grace period that is reserved for the exit of the
 /// process.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
@@ -75,6 +81,7 @@
     /// The newest link of each entry.
     pub(crate) link_by_entry: IndexMap<EntryId, LinkId>,
     pub(crate) overlay: OverlayLinks,
+    pub(crate) evacuation: EvacuationMachine,
     pub(crate) directory: Box<dyn Directory>,
     pub(crate) orders: Box<dyn EndpointOrders>,
     pub(crate) routing: SharedRouting,
@@ -122,6 +129,9 @@
             links: IndexMap::new(),
             link_by_entry: IndexMap::new(),
             overlay: OverlayLinks::new(overlay, dialers),
+            evacuation: EvacuationMachine::new(EvacuationConf {
+                hold_until: Some(now.instant + MAX_ZONES_UNKNOWN),
+            }),
             directory: conf.directory,
             orders: conf.orders,
             routing: SharedRouting::default(),
@@ -146,6 +156,7 @@
         let mut tick = interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.recorder.record_process("started", 0);
+        self.handle_input(GuardInput::ZonesChanged(self.evacuation.gate()));
         while !self.is_done() {
             let next_wakeup = self.guard.next_wakeup(Now::read().instant);
             tokio::select! {
@@ -204,6 +215,7 @@
         self.handle_input(GuardInput::Tick);
         self.recorder.flush_if_due(Now::read());
         let now = Now::read().instant;
+        self.handle_evacuation(EvacuationInput::Tick);
         self.handle_overlay(OverlayInput::Tick);
         for entry in self.overlay.withdrawn() {
             if !self.guard.holds_tasks_of(&entry) {
@@ -233,6 +245,7 @@
                     ("routing-version", self.routing.version()),
                     ("routing-age-seconds", self.routing.age().as_secs()),
                 ];
+                let gauges = [&gauges[..], &self.evacuation_gauges()].concat();
                 let text = self
                     .recorder
                     .metrics_text(&gauges, &self.directory.call_counts());
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -1,7 +1,7 @@
 //! Interface between the loops and the store of the site's shared state.
 
 use {
-    chestnutrun_types::{DecisionEvent, Member, RoutingTable},
+    chestnutrun_types::{DecisionEvent, EvacuatedZones, Member, RoutingTable, ZoneChange},
     std::{fmt, future::Future, pin::Pin},
     tokio::sync::mpsc::Sender,
 };
@@ -14,6 +14,10 @@
 pub enum DirectoryEvent {
     /// A version of the routing table was read.
     Routing(RoutingTable),
+    /// All evacuated zones, after a read.
+    Evacuated(EvacuatedZones),
+    /// Changes of the evacuated zones, in the order in which they were made.
+    ZoneChanges(Vec<ZoneChange>),
     /// All registered entries, after a read.
     Members(Vec<Member>),
     /// The directory became reachable (true) or unreachable (false).
@@ -33,16 +37,17 @@
     pub count: u64,
 }
 
-/// Store of the routing table, which operators write, and of the entries, which
-/// register themselves.
+/// Store of the routing table and the evacuated zones, which operators write, and of the
+/// entries, which register themselves.
 ///
 /// A call that takes a sender returns at once and sends its results as events.
 /// An implementation logs failures and retries where a retry helps.
 pub trait Directory: fmt::Debug {
-    /// Sends the routing table and its changes until the process ends.
+    /// Sends the routing table, the evacuated zones and their changes until the process
+    /// ends.
     fn follow_routing(&self, events: Sender<DirectoryEvent>);
 
-    /// Reads the routing table once.
+    /// Reads the routing table and the evacuated zones once.
     fn read_routing(&self, events: Sender<DirectoryEvent>);
 
     /// Reads the registered entries once.
--- a/crates/dispatch/src/entry_callers.rs
+++ b/crates/dispatch/src/entry_callers.rs
@@ -54,6 +54,7 @@
                     ("routing-version", self.routing.version()),
                     ("routing-age-seconds", self.routing.age().as_secs()),
                 ];
+                let gauges = [&gauges[..], &self.evacuation_gauges()].concat();
                 let text = self
                     .recorder
                     .metrics_text(&gauges, &self.directory.call_counts());
--- a/crates/dispatch/src/entry_links.rs
+++ b/crates/dispatch/src/entry_links.rs
@@ -6,7 +6,9 @@
         entry_peers::Peer,
         overlay_links::{OverlayEffect, OverlayLinks},
     },
-    chestnutrun_decisions::{overlay::OverlayInput, placement::DispatchInput},
+    chestnutrun_decisions::{
+        evacuation::EvacuationInput, overlay::OverlayInput, placement::DispatchInput,
+    },
     chestnutrun_net::{Link, LinkEvent, LinkId, PeerName},
     chestnutrun_protocol::{Hello, Message},
     chestnutrun_types::{AgentId, CancelledJob, Incarnation, MemberList, Now, RoutingTable},
@@ -16,6 +18,12 @@
     pub(crate) fn handle_directory_event(&mut self, event: DirectoryEvent) {
         match event {
             DirectoryEvent::Routing(table) => self.update_routing(table, "directory"),
+            DirectoryEvent::Evacuated(zones) => {
+                self.handle_evacuation(EvacuationInput::Read(zones));
+            }
+            DirectoryEvent::ZoneChanges(changes) => {
+                self.handle_evacuation(EvacuationInput::Changed(changes));
+            }
             DirectoryEvent::Members(members) => {
                 self.handle_overlay(OverlayLinks::registered(members));
             }
@@ -43,6 +51,7 @@
             LinkEvent::PeerAlive(..) => {}
             LinkEvent::Down(id) => {
                 self.routing_sync.remove_peer(id);
+                self.handle_evacuation(EvacuationInput::LinkClosed(id));
                 self.handle_overlay(OverlayInput::LinkClosed(id));
                 if let Some(agent) = self.peers.remove(id) {
                     self.handle_input(DispatchInput::AgentDown(agent));
@@ -85,6 +94,7 @@
                 self.peers.send(id, told_as_cancelled(cancelled));
             }
         }
+        self.handle_evacuation(EvacuationInput::LinkOpened(id));
         self.handle_overlay(opened);
         if let Some(member) = member {
             self.handle_overlay(OverlayInput::PeerNamed(id, member));
@@ -105,6 +115,9 @@
             }
             Message::Routing(table) => self.update_routing(table, "peer"),
             Message::Members(mut list) => {
+                if let Some(zones) = list.evacuated.take() {
+                    self.handle_evacuation(EvacuationInput::Received(id, zones));
+                }
                 let cancelled = std::mem::take(&mut list.cancelled);
                 if !cancelled.is_empty() {
                     self.handle_input(DispatchInput::CancelledElsewhere(cancelled));
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -13,6 +13,7 @@
         routing_sync::RoutingSync,
     },
     chestnutrun_decisions::{
+        evacuation::{EvacuationConf, EvacuationMachine},
         overlay::{OverlayConf, OverlayInput, RingOrder},
         placement::{CallerId, DispatchAction, DispatchInput, Dispatcher, JobOutcome},
     },
@@ -72,6 +73,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) peers: EntryPeers,
     pub(crate) overlay: OverlayLinks,
+    pub(crate) evacuation: EvacuationMachine,
     pub(crate) directory: Box<dyn Directory>,
     pub(crate) routing: SharedRouting,
     pub(crate) routing_sync: RoutingSync,
@@ -126,6 +128,7 @@
             me: conf.me,
             peers: EntryPeers::default(),
             overlay: OverlayLinks::new(overlay, dialers),
+            evacuation: EvacuationMachine::new(EvacuationConf::default()),
             directory: conf.directory,
             routing: conf.routing,
             routing_sync: RoutingSync::default(),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`CallerHandle`] and an agent's loop by sending [`AgentEvent`]s.
 
 mod agent_actions;
+mod agent_evacuation;
 mod agent_event;
 mod agent_links;
 mod agent_loop;
@@ -15,6 +16,7 @@
 mod endpoint_orders;
 mod entry_callers;
 mod entry_dialers;
+mod entry_evacuation;
 mod entry_links;
 mod entry_loop;
 mod entry_peers;
--- a/crates/dispatch/src/recorder.rs
+++ b/crates/dispatch/src/recorder.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::CallCount,
-    chestnutrun_observe::{DecisionLog, DispatchMetrics},
+    chestnutrun_decisions::evacuation::EvacuationMachine,
+    chestnutrun_observe::{DecisionLog, DispatchMetrics, as_u64},
     chestnutrun_types::{DecisionEvent, Now, RoutingVersion},
     std::{
         sync::Arc,
@@ -110,3 +111,20 @@
         }
     }
 }
+
+/// Returns the metrics on the evacuated zones: their number, the revision of the directory at
+/// which they are known (0 if they are not), and for how long they have been the same.
+pub(crate) fn evacuation_gauges(
+    evacuation: &EvacuationMachine,
+    now: Now,
+) -> [(&'static str, u64); 3] {
+    let state = evacuation.state();
+    [
+        (
+            "zones-evacuated",
+            state.map_or(0, |state| as_u64(state.zones.len())),
+        ),
+        ("zones-revision", state.map_or(0, |state| state.revision)),
+        ("zones-age-seconds", evacuation.age(now.instant).as_secs()),
+    ]
+}
--- a/crates/observe/tests/logs_page.rs
+++ b/crates/observe/tests/logs_page.rs
@@ -158,6 +158,12 @@
             replaced: 1,
             source: "peer".into(),
         },
+        DecisionEvent::ZoneEvacuation {
+            zone: "z".into(),
+            news: "requested".into(),
+            revision: 7,
+            source: "directory".into(),
+        },
         DecisionEvent::DirectoryAnswer {
             call: "read".into(),
             outcome: "done".into(),
--- a/crates/types/src/decision_event.rs
+++ b/crates/types/src/decision_event.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         AgentId, AssignmentId, EndKind, EndpointId, EntryId, Incarnation, JobId, Revision, RouteId,
-        RoutingVersion, RunNumber, ServiceId, TaskId, TaskPosition,
+        RoutingVersion, RunNumber, ServiceId, TaskId, TaskPosition, ZoneId,
     },
     serde::{Deserialize, Serialize},
     std::borrow::Cow,
@@ -180,15 +180,16 @@
         /// Free processor capacity of the endpoint.
         free_cpu_millis: u32,
     },
-    /// An endpoint did not start a task that its agent asked it to start.
+    /// A task did not start: its endpoint refused it, or its agent did not ask the endpoint.
     StartRefused {
         /// The job.
         job: JobId,
         /// The task.
         task: TaskPosition,
-        /// Number of the start.
+        /// Number of the start; 0 if the endpoint was not asked.
         run: RunNumber,
-        /// The endpoint's answer; `no-answer` if it did not answer.
+        /// The endpoint's answer; `no-answer` if it did not answer, `zone-evacuated` or
+        /// `zones-unknown` if it was not asked.
         reason: Cow<'static, str>,
     },
     /// An agent asked its endpoint to stop a task.
@@ -254,6 +255,18 @@
         /// Origin of the table: `directory` or `peer`.
         source: Cow<'static, str>,
     },
+    /// The process learned that an operator requested the evacuation of a zone, or took
+    /// the request back.
+    ZoneEvacuation {
+        /// The zone.
+        zone: ZoneId,
+        /// The change: `requested` or `taken-back`.
+        news: Cow<'static, str>,
+        /// Revision of the directory at which the change is known.
+        revision: Revision,
+        /// Origin of the change: `directory` or `peer`.
+        source: Cow<'static, str>,
+    },
     /// The directory answered a read, or a feed request with changes or with the
     /// reply that it no longer keeps the requested revision.
     DirectoryAnswer {
@@ -338,6 +351,7 @@
             Self::EndpointCrashed { .. } => "endpoint-crashed",
             Self::EntryLost { .. } => "entry-lost",
             Self::RoutingInForce { .. } => "routing-in-force",
+            Self::ZoneEvacuation { .. } => "zone-evacuation",
             Self::DirectoryAnswer { .. } => "directory-answer",
             Self::Dependency { .. } => "dependency",
             Self::Process { .. } => "process",
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 mod contract;
 mod decision_event;
 mod endpoint_report;
+mod evacuated_zones;
 mod exchange;
 mod ids;
 mod job;
@@ -34,6 +35,7 @@
     endpoint_report::{
         AgentUpdate, EndKind, EndpointCrash, EndpointInfo, Reserve, Resync, TaskEnd,
     },
+    evacuated_zones::{EvacuatedZones, ZoneChange},
     exchange::{
         Acknowledgement, AgentHello, Confirm, Confirmation, Fence, FenceReply, Finished, JobReply,
         KeyHash, KnownAgents, KnownRun, Lookup, LookupReply, RecordState, Reply, RunRecords,
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -1,7 +1,7 @@
 //! Entries of the site and owners of shards, as recorded in the platform's table.
 
 use {
-    crate::{CancelledJob, EntryId, Epoch, Incarnation, Revision, ShardId, ZoneId},
+    crate::{CancelledJob, EntryId, Epoch, EvacuatedZones, Incarnation, Revision, ShardId, ZoneId},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     thiserror::Error,
@@ -84,6 +84,21 @@
     /// an earlier build refuses a message of an unknown kind, but ignores a field.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub cancelled: Vec<CancelledJob>,
+    /// The evacuated zones, as far as the sender knows them; they are told in a list of
+    /// entries for the same reason.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<EvacuatedZones>,
+}
+
+impl MemberList {
+    /// Returns a list that only tells the evacuated zones.
+    #[must_use]
+    pub fn with_evacuated(zones: EvacuatedZones) -> Self {
+        Self {
+            evacuated: Some(zones),
+            ..Self::default()
+        }
+    }
 }
 
 /// Entries of which a majority must vote for an ownership; empty if no vote is
