--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,6 +12,7 @@
 mod contract;
 mod decision_event;
 mod endpoint_report;
+mod evacuated_zones;
 mod exchange;
 mod ids;
 mod job;
@@ -36,6 +37,7 @@
     endpoint_report::{
         AgentUpdate, EndKind, EndpointCrash, EndpointInfo, Reserve, Resync, TaskEnd,
     },
+    evacuated_zones::{EvacuatedZones, ZoneChange},
     exchange::{
         Acknowledgement, AgentHello, Confirm, Confirmation, Fence, FenceReply, Finished, JobReply,
         KeyHash, KnownAgents, KnownRun, Lookup, LookupReply, RecordState, Reply, RunRecords,
