Explain refusals for evacuated zones, test leaving endpoints

Cause: explain had no sentence for jobs refused since only evacuated zones could hold them; that an endpoint which announced its end starts nothing was covered by no test.

Change: the sentence with its test; a test that plays the announced end on the decisions of the guard: nothing starts from then on, waiting tasks go back, runs go on, and the end is no crash. It passes on the code as it stood, so that nothing is mended there; `remaining_ms` of the report stays unread, since no task is placed there at all.

--- a/crates/decisions/tests/guard_endpoint.rs
+++ b/crates/decisions/tests/guard_endpoint.rs
@@ -11,7 +11,7 @@
             ListReply, ListedEnd, ListedRun, OrderFault, RunEnd, StartOrder,
         },
     },
-    chestnutrun_types::{AgentUpdate, EndKind},
+    chestnutrun_types::{AgentUpdate, EndKind, TaskId, TaskPosition},
     guard_site::{
         announcement, assign_one, assignment, guard_with_runs, later, list_sent_at, lists, starts,
         usable_guard,
@@ -332,3 +332,52 @@
     guard.handle(later(begin, 4), GuardInput::ZonesChanged(gate(&[])));
     assign_one(&mut guard, later(begin, 5));
 }
+
+/// An endpoint that announced its end gets no start, not even in the room that its running
+/// tasks leave or after one of them ends. Waiting tasks go back at once, those that run go
+/// on, and the end that was announced is no crash.
+#[rstest]
+fn a_leaving_endpoint_starts_tasks_or_stops_those_that_run() {
+    let begin = Instant::now();
+    let (mut guard, runs) = guard_with_runs(begin, 8);
+    assign(&mut guard, begin, 2, 9);
+    let mut last = announcement();
+    (last.sequence, last.leaving) = (2, true);
+    let mut actions = guard.handle(later(begin, 3), GuardInput::Announced(last));
+    assert_eq!(guard.tasks(), runs.len(), "the waiting task went back");
+    let ended = ListReply {
+        running: Vec::new(),
+        ended: vec![ListedEnd {
+            number: 1,
+            task: TaskId {
+                job: "0000000000000001".into(),
+                at: TaskPosition { step: 0, index: 0 },
+            },
+            run: runs[0],
+            how: RunEnd::Done,
+        }],
+    };
+    let clock = Duration::from_millis(1_010);
+    let listed = GuardInput::Listed(1, list_sent_at(later(begin, 4)), Answer::Done(clock, ended));
+    actions.extend(guard.handle(later(begin, 10), listed));
+    actions.extend(assign(&mut guard, begin, 11, 10));
+    actions.extend(guard.handle(
+        later(begin, 20),
+        GuardInput::EndpointEnded("endpoint".into()),
+    ));
+    assert!(starts(&actions).is_empty(), "{actions:?}");
+    let is_stop = |action: &GuardAction| matches!(action, GuardAction::Stop(_));
+    assert!(!actions.iter().any(is_stop), "{actions:?}");
+    let reported = updates(&actions);
+    assert!(reported.iter().all(|update| update.most_tasks == 0));
+    assert!(reported.iter().all(|update| update.crashes.is_empty()));
+    let ends = reported.into_iter().flat_map(|update| &update.ends);
+    let ends: Vec<EndKind> = ends.map(|end| end.kind).collect();
+    let count = |kind| ends.iter().filter(|end| **end == kind).count();
+    assert_eq!(
+        (count(EndKind::NotStarted), count(EndKind::Done)),
+        (2, 1),
+        "{ends:?}"
+    );
+    assert_eq!(count(EndKind::Stopped), runs.len() - 1, "{ends:?}");
+}
--- a/crates/observe/src/job_history.rs
+++ b/crates/observe/src/job_history.rs
@@ -149,6 +149,9 @@
             Some(("refused-no-time", _)) => {
                 "the job runs for longer than its caller waits".to_owned()
             }
+            Some(("refused-evacuated", _)) => {
+                "only endpoints in evacuated zones can hold one of its tasks".to_owned()
+            }
             Some(("failed", _)) => self.describe_failed_job(),
             Some((_, Some(wait))) if self.has_failures() => {
                 format!("first placed after {wait} ms; {}", self.describe_failures())
