Check that earlier builds read lists with evacuated zones

Cause: the field that tells the evacuated zones was not covered by the test that an earlier build reads a list of entries without a later field.

Change: the test of cancelled jobs takes both fields as cases; the former case is as strict as it was, and also asserts that the field was there.

Measured: cargo test -p chestnutrun-protocol: passed.

--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -3,7 +3,7 @@
 use {
     chestnutrun_protocol::{CodecError, MAX_FRAME_BYTES, Message, decode, encode},
     chestnutrun_types::{
-        AgentUpdate, Assignment, CancelledJob, Confirm, JobRef, MemberList, Resync,
+        AgentUpdate, Assignment, CancelledJob, Confirm, EvacuatedZones, JobRef, MemberList, Resync,
     },
     ciborium::Value,
     rstest::rstest,
@@ -75,18 +75,26 @@
     assert_eq!(decode(&buf).expect("the frame is a valid message"), message);
 }
 
-/// An earlier build closes a link on a message of an unknown kind, and ignores a field
-/// that it does not know.
-#[test]
-fn cancelled_jobs_are_told_in_a_message_that_an_earlier_build_refuses() {
+fn with_cancelled() -> MemberList {
     let cancelled = vec![CancelledJob {
         job: "00000000000000a1".into(),
         remembered_for: Duration::from_secs(30),
     }];
-    let list = MemberList {
+    MemberList {
         cancelled,
         ..MemberList::default()
-    };
+    }
+}
+
+/// An earlier build closes a link on a message of an unknown kind, and ignores a field
+/// that it does not know.
+#[rstest]
+#[case::cancelled_jobs(with_cancelled(), "cancelled")]
+#[case::evacuated_zones(MemberList::with_evacuated(EvacuatedZones::default()), "evacuated")]
+fn later_news_is_told_in_a_message_that_an_earlier_build_refuses(
+    #[case] list: MemberList,
+    #[case] later: &str,
+) {
     let message = Message::Members(list);
     let buf = encode(&message).expect("the message can be encoded");
     assert_eq!(decode(&buf).expect("the frame is a valid message"), message);
@@ -94,7 +102,9 @@
     let kinds = value.as_map_mut().expect("a message is a map");
     assert_eq!(kinds[0].0.as_text(), Some("members"));
     let fields = kinds[0].1.as_map_mut().expect("its body is a map");
-    fields.retain(|(name, _)| name.as_text() != Some("cancelled"));
+    let count = fields.len();
+    fields.retain(|(name, _)| name.as_text() != Some(later));
+    assert_eq!(fields.len() + 1, count, "the message has the field");
     let mut buf = Vec::new();
     ciborium::into_writer(&value, &mut buf).expect("the value can be encoded");
     let empty = Message::Members(MemberList::default());
