Never wait for the reader of standard error

Change: lines wait in a buffer of 64 KiB and are written only while a poll says that the descriptor is ready, at most PIPE_BUF at a time; further lines are counted and told of. The decision log uses the same writer. Messages of fatal errors and panics go there too.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -12,7 +12,7 @@
         AgentAction, AgentConf as MachineConf, AgentInput, AgentMachine, AgentMessage, RunOutcome,
     },
     chestnutrun_net::{LinkEvent, LinkId},
-    chestnutrun_observe::{EventKind, Metrics, Timeline, start_logs},
+    chestnutrun_observe::{EventKind, Metrics, Timeline, flush_logs, start_logs},
     chestnutrun_protocol::{Hello, Message},
     chestnutrun_settings::{AgentConf, load},
     chestnutrun_types::{
@@ -130,7 +130,10 @@
             tokio::select! {
                 Some(event) = rx.recv() => self.handle_event(event),
                 Some(event) = link_rx.recv() => self.handle_link_event(event),
-                _ = tick.tick() => self.handle_input(AgentInput::Tick),
+                _ = tick.tick() => {
+                    flush_logs();
+                    self.handle_input(AgentInput::Tick);
+                }
                 _ = terminate.recv() => self.begin_stop(),
                 _ = interrupt.recv() => self.begin_stop(),
             }
--- a/crates/dispatch/src/recorder.rs
+++ b/crates/dispatch/src/recorder.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::CallCount,
-    chestnutrun_observe::{DecisionLog, DispatchMetrics},
+    chestnutrun_observe::{DecisionLog, DispatchMetrics, flush_logs, left_out_log_lines},
     chestnutrun_types::{DecisionEvent, Now, RoutingVersion},
     std::{
         sync::Arc,
@@ -73,11 +73,12 @@
         self.record(Now::read(), DecisionEvent::Dependency { name, is_there });
     }
 
-    /// Flushes the log if the last flush is `FLUSH_INTERVAL` ago.
+    /// Flushes both logs if the last flush is `FLUSH_INTERVAL` ago.
     pub(crate) fn flush_if_due(&mut self, now: Now) {
         if self.flush_at.is_none_or(|at| at <= now.instant) {
             self.flush_at = Some(now.instant + FLUSH_INTERVAL);
             self.log.flush();
+            flush_logs();
         }
     }
 
@@ -97,6 +98,7 @@
         for (name, value) in gauges {
             metrics.set(name, *value);
         }
+        metrics.set("log-lines-left-out", left_out_log_lines());
         metrics.show().unwrap_or_else(|error| {
             log::error!("could not encode the metrics: {error}");
             String::new()
@@ -105,6 +107,7 @@
 
     pub(crate) fn close(self) {
         self.log.close();
+        flush_logs();
         if let Some(metrics) = self.metrics {
             metrics.close();
         }
--- a/crates/entry/src/daemon/entry_daemon.rs
+++ b/crates/entry/src/daemon/entry_daemon.rs
@@ -13,7 +13,7 @@
         owner::OwnerInput,
     },
     chestnutrun_net::LinkEvent,
-    chestnutrun_observe::{EventKind, Metrics, Stopwatch, Timeline},
+    chestnutrun_observe::{EventKind, Metrics, Stopwatch, Timeline, flush_logs},
     chestnutrun_settings::EntryConf,
     chestnutrun_table::Table,
     chestnutrun_types::{Configuration, Member, MemberList, Now},
@@ -171,6 +171,7 @@
     }
 
     fn tick(&mut self) {
+        flush_logs();
         self.membership_input(MembershipInput::Tick);
         let actions = self.shards.handle_all(Now::read(), &OwnerInput::Tick);
         self.execute_owner_actions(actions);
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,6 +2,7 @@
 
 use {
     chestnutrun_entry::{Arguments, run},
+    chestnutrun_observe::report_error,
     ntex::rt::{DefaultRuntime, System},
     std::process::ExitCode,
 };
@@ -12,7 +13,7 @@
     match system.block_on(run(arguments)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("chestnutrun-entry: {error}");
+            report_error(&format!("chestnutrun-entry: {error}"));
             ExitCode::FAILURE
         }
     }
--- a/crates/observe/src/decision_log.rs
+++ b/crates/observe/src/decision_log.rs
@@ -2,14 +2,13 @@
 //! bounded, and a process never waits for its reader.
 
 use {
-    crate::ProcessId,
+    crate::{ProcessId, ready_writer::write_while_ready},
     chestnutrun_types::{DecisionEvent, Now},
-    rustix::event::{PollFd, PollFlags, Timespec, poll},
     serde::{Deserialize, Serialize},
     std::{
         collections::VecDeque,
         fmt,
-        io::{Write, stdout},
+        io::stdout,
         time::{Duration, Instant, SystemTime},
     },
 };
@@ -24,10 +23,6 @@
 /// Buffer size, in bytes, from which on further lines are left out.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
-/// Largest single write, in bytes: a pipe that is ready for writing accepts this
-/// many without blocking.
-const PIPE_CHUNK_BYTES: usize = 4_096;
-
 /// One line of the decision log.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LogLine {
@@ -98,20 +93,7 @@
     /// Writes what standard output accepts without blocking; the rest stays
     /// buffered.
     pub fn flush(&mut self) {
-        let out = stdout();
-        while !self.buffered.is_empty() && is_writable(&out) {
-            let (chunk, _) = self.buffered.as_slices();
-            let chunk = &chunk[..chunk.len().min(PIPE_CHUNK_BYTES)];
-            let written = match out.lock().write(chunk) {
-                Ok(written) if written > 0 => written,
-                // The reader closed the pipe: the buffer is dropped, because neither
-                // its lines nor a report of their loss can be written.
-                Ok(_) | Err(_) => self.buffered.len(),
-            };
-            self.buffered.drain(..written);
-        }
-        // The standard library buffers the part after the last line end.
-        let _ = out.lock().flush();
+        write_while_ready(stdout(), &mut self.buffered);
     }
 
     /// Writes what standard output still accepts and ends the log.
@@ -153,15 +135,6 @@
     }
 }
 
-fn is_writable(out: &std::io::Stdout) -> bool {
-    let mut fds = [PollFd::new(out, PollFlags::OUT)];
-    let no_wait = Timespec {
-        tv_sec: 0,
-        tv_nsec: 0,
-    };
-    matches!(poll(&mut fds, Some(&no_wait)), Ok(ready) if ready > 0)
-}
-
 fn unix_micros(time: SystemTime) -> u64 {
     let since_epoch = time
         .duration_since(SystemTime::UNIX_EPOCH)
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -5,9 +5,11 @@
 mod event;
 mod exporter;
 mod job_history;
+mod log_buffer;
 mod logs;
 pub mod merged_timeline;
 mod metrics;
+mod ready_writer;
 mod stopwatch;
 mod timeline;
 
@@ -17,7 +19,8 @@
     event::{Event, EventKind, ProcessId, Sequence},
     exporter::as_u64,
     job_history::{JobHistory, JobSummary, summarize_jobs},
-    logs::start_logs,
+    log_buffer::LogBuffer,
+    logs::{flush_logs, left_out_log_lines, report_error, start_logs},
     metrics::{Metrics, MetricsError},
     stopwatch::Stopwatch,
     timeline::Timeline,
