Let no odd number of a heartbeat hide the later ones

The clock of a heartbeat set the estimate for leases, and a run number of an assignment could leave no number that endpoints take. Change: draining counts in any order; three late numbers that rise in a row take the place of the highest; the clock is read from answers alone, and no lease is asked for before the first; run numbers are bounded by the clock.

--- a/crates/decisions/src/guard/endpoint_clock.rs
+++ b/crates/decisions/src/guard/endpoint_clock.rs
@@ -16,29 +16,42 @@
     reading: EndpointTime,
     received_at: Instant,
     leases_end_at: Option<Instant>,
+    /// Whether the endpoint itself answered with a reading.
+    is_confirmed: bool,
 }
 
 impl EndpointClock {
-    /// Creates the estimate from a reading that arrived at `now`.
+    /// Creates the estimate from a reading that was announced at `now`. The endpoint's first
+    /// answer replaces it, since another writer may have announced it.
     #[must_use]
-    pub fn new(now: Instant, reading: EndpointTime) -> Self {
+    pub fn announced(now: Instant, reading: EndpointTime) -> Self {
         Self {
             reading,
             received_at: now,
             leases_end_at: None,
+            is_confirmed: false,
         }
     }
 
-    /// Updates the estimate with a reading that arrived at `now`.
+    /// Returns whether the endpoint itself answered with a reading. Before that no lease
+    /// may be asked for: it could last longer than the agent counts on.
+    #[must_use]
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
+    /// Updates the estimate with a reading of an answer that arrived at `now`.
     ///
     /// A reading that was delayed on its way is behind the current estimate and
     /// is ignored, unless the stored reading is older than a second.
     pub fn update(&mut self, now: Instant, reading: EndpointTime) {
-        if reading > self.earliest_time(now)
+        if !self.is_confirmed
+            || reading > self.earliest_time(now)
             || now.saturating_duration_since(self.received_at) > Duration::from_secs(1)
         {
             self.reading = reading;
             self.received_at = now;
+            self.is_confirmed = true;
         }
     }
 
--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -33,19 +33,20 @@
             if is_same_id {
                 self.replace_endpoint(now, announcement);
             } else {
-                endpoint.successor = Some(announcement);
+                endpoint.keep_successor(announcement);
             }
             return;
         }
-        if announcement.sequence <= endpoint.sequence {
-            return;
+        // An endpoint that leaves does not stay after all, so that this holds in whatever
+        // order the announcements arrive.
+        let starts_leaving = announcement.leaving && !endpoint.is_leaving;
+        endpoint.is_leaving |= announcement.leaving;
+        let is_newest = endpoint.order.accept(announcement.sequence);
+        let is_changed = is_newest && endpoint.info != announcement.info;
+        if is_changed {
+            endpoint.info = announcement.info;
         }
-        endpoint.sequence = announcement.sequence;
-        endpoint.clock.update(now, announcement.clock);
-        let is_changed = endpoint.info != announcement.info;
-        endpoint.info = announcement.info;
-        if announcement.leaving && !endpoint.is_leaving {
-            endpoint.is_leaving = true;
+        if starts_leaving {
             let info = endpoint.info.clone();
             self.record_endpoint_event(&info, "leaving");
             self.return_waiting(now);
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        guard::{Announcement, EndNumber, EndpointClock, EndpointHealth},
+        guard::{
+            Announcement, EndNumber, EndpointClock, EndpointHealth,
+            announcement_order::AnnouncementOrder,
+        },
         timing::{ENDPOINT_SILENCE_LIMIT, FAILING_PAUSE, IMMEDIATE_LIST_AFTER},
     },
     chestnutrun_types::{EndpointInfo, TaskId},
@@ -43,8 +46,8 @@
 pub(crate) struct EndpointState {
     pub(crate) info: EndpointInfo,
     pub(crate) clock: EndpointClock,
-    /// Sequence number of the newest announcement.
-    pub(crate) sequence: u64,
+    /// Tells late announcements from new ones.
+    pub(crate) order: AnnouncementOrder,
     pub(crate) health: EndpointHealth,
     pub(crate) is_leaving: bool,
     pub(crate) process: ProcessState,
@@ -76,8 +79,8 @@
     pub(crate) fn new(now: Instant, announcement: Announcement) -> Self {
         Self {
             info: announcement.info,
-            clock: EndpointClock::new(now, announcement.clock),
-            sequence: announcement.sequence,
+            clock: EndpointClock::announced(now, announcement.clock),
+            order: AnnouncementOrder::new(announcement.sequence),
             health: EndpointHealth::default(),
             is_leaving: announcement.leaving,
             process: ProcessState::Present,
@@ -94,6 +97,16 @@
         }
     }
 
+    /// Keeps the announcement of another endpoint. One that leaves does not stay after all.
+    pub(crate) fn keep_successor(&mut self, mut announcement: Announcement) {
+        let known = self.successor.as_ref().filter(|known| {
+            known.info.endpoint == announcement.info.endpoint
+                && known.info.incarnation == announcement.info.incarnation
+        });
+        announcement.leaving |= known.is_some_and(|known| known.leaving);
+        self.successor = Some(announcement);
+    }
+
     /// Records that the endpoint answered, so that its process is there.
     pub(crate) fn record_contact(&mut self, now: Instant) {
         self.last_contact_at = now;
--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -10,15 +10,16 @@
         timing::millis,
     },
     chestnutrun_types::{
-        AgentUpdate, Assignment, DecisionEvent, EndKind, EntryId, Incarnation, Reserve, Resources,
-        Resync, Revocation, RunNumber, TaskId, ZoneId,
+        AgentUpdate, Assignment, DecisionEvent, EndKind, EntryId, Incarnation, Now, Reserve,
+        Resources, Resync, Revocation, RunNumber, TaskId, ZoneId,
     },
     std::time::Instant,
 };
 
-/// Highest run number of an assignment that is used. Agents begin their numbers at a
-/// clock reading in milliseconds, so no run of theirs has a higher one.
-const MAX_RUN_NUMBER: RunNumber = 1 << 53;
+/// How far the run number of an assignment may lie ahead of this worker's wall clock, in
+/// milliseconds: a day. Agents begin their numbers at a clock reading in milliseconds and
+/// raise them by seconds, so that no run of theirs has a higher one.
+const MAX_RUN_NUMBER_AHEAD: RunNumber = 24 * 3_600 * 1_000;
 
 impl GuardMachine {
     pub(super) fn link_up(
@@ -84,13 +85,15 @@
         }
     }
 
-    pub(super) fn assign(&mut self, now: Instant, entry: &EntryId, assignment: Assignment) {
+    pub(super) fn assign(&mut self, now: Now, entry: &EntryId, assignment: Assignment) {
+        let most = now.incarnation() / 1_000_000 + MAX_RUN_NUMBER_AHEAD;
+        let now = now.instant;
         let Some(state) = self.entries.get_mut(entry) else {
             return;
         };
         let incarnation = state.incarnation;
         state.last_assignment = state.last_assignment.max(assignment.id);
-        if assignment.after_run < MAX_RUN_NUMBER {
+        if assignment.after_run < most {
             self.next_run = self.next_run.max(assignment.after_run + 1);
         }
         // A wait that no clock can hold counts as none.
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -66,7 +66,7 @@
             GuardInput::Withdraw(entry) => self.set_withdrawn(&entry, true),
             GuardInput::Restore(entry) => self.set_withdrawn(&entry, false),
             GuardInput::Proven(entry, proven_at) => self.record_entry_proof(&entry, proven_at),
-            GuardInput::Assign(entry, assignment) => self.assign(at, &entry, assignment),
+            GuardInput::Assign(entry, assignment) => self.assign(now, &entry, assignment),
             GuardInput::Revoke(entry, revocation) => self.revoke(at, &entry, &revocation),
             GuardInput::Started(endpoint, run, answer) => {
                 self.handle_start_answer(at, endpoint, run, &answer);
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -224,7 +224,8 @@
         // A lease that is not renewed ends soon, and so does the wait of the runs that
         // were lost with the endpoint's process.
         let is_there = endpoint.is_responsive(now) && endpoint.process != ProcessState::Unreachable;
-        let until = (holds_runs && is_there).then(|| endpoint.clock.extend_lease(now, RUN_LEASE));
+        let until = (holds_runs && is_there && endpoint.clock.is_confirmed())
+            .then(|| endpoint.clock.extend_lease(now, RUN_LEASE));
         self.actions.push(GuardAction::List(ListOrder {
             endpoint: endpoint.info.endpoint.clone(),
             incarnation: endpoint.info.incarnation,
--- a/crates/decisions/src/guard/mod.rs
+++ b/crates/decisions/src/guard/mod.rs
@@ -1,6 +1,7 @@
 //! The agent's side of best-effort jobs: controls one endpoint on behalf of all
 //! entries.
 
+mod announcement_order;
 mod contention;
 mod endpoint_clock;
 mod endpoint_side;
--- a/crates/decisions/tests/guard_endpoint.rs
+++ b/crates/decisions/tests/guard_endpoint.rs
@@ -265,3 +265,72 @@
     let first = lists(actions).remove(0);
     assert!(first.token > start.token, "earlier orders are fenced");
 }
+
+fn announced(sequence: u64, leaving: bool, cpu_millis: u32) -> GuardInput {
+    let mut announced = announcement();
+    announced.sequence = sequence;
+    announced.leaving = leaving;
+    announced.info.total.cpu_millis = cpu_millis;
+    GuardInput::Announced(announced)
+}
+
+/// A heartbeat of another writer had a sequence number that is far too high. All later ones
+/// were acknowledged and ignored, also those of an endpoint that left.
+#[rstest]
+fn an_endpoint_that_leaves_after_an_odd_sequence_number_gets_work() {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    guard.handle(later(begin, 10), announced((1 << 53) - 1, false, 8_000));
+    guard.handle(later(begin, 20), announced(2, true, 8_000));
+    assert!(!guard.takes_work(later(begin, 20).instant));
+    // A late announcement, from before the endpoint left.
+    guard.handle(later(begin, 30), announced(1, false, 8_000));
+    assert!(!guard.takes_work(later(begin, 30).instant));
+}
+
+/// Returns the processor of the endpoint as told to entries, if it is told.
+fn told_cpu(actions: &[GuardAction]) -> Vec<u32> {
+    let told = actions.iter().filter_map(|action| match action {
+        GuardAction::Send(_, GuardMessage::Endpoint(info)) => info.as_ref(),
+        _ => None,
+    });
+    told.map(|info| info.total.cpu_millis).collect()
+}
+
+/// After an odd sequence number, the capacity that later heartbeats told was never used.
+#[rstest]
+#[case::odd_number(&[((1 << 53) - 1, 8_000), (2, 4_000), (3, 4_000), (4, 4_000)], &[4_000])]
+#[case::one_late(&[(5, 4_000), (2, 6_000), (6, 4_000)], &[4_000])]
+#[case::late_ones_fall(&[(5, 4_000), (4, 6_000), (3, 6_000), (2, 6_000)], &[4_000])]
+#[case::one_repeated(&[(5, 4_000), (2, 6_000), (2, 6_000), (2, 6_000)], &[4_000])]
+fn the_capacity_after_an_odd_sequence_number_is_ignored(
+    #[case] announcements: &[(u64, u32)],
+    #[case] expected: &[u32],
+) {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let mut told = Vec::new();
+    for (at, (sequence, cpu)) in (10..).step_by(10).zip(announcements) {
+        let actions = guard.handle(later(begin, at), announced(*sequence, false, *cpu));
+        told.extend(told_cpu(&actions));
+    }
+    assert_eq!(told, expected);
+}
+
+/// A heartbeat of another writer told a clock that is far ahead. For a second leases were
+/// longer than the agent counted on.
+#[rstest]
+#[case::while_it_runs(false)]
+#[case::at_a_new_incarnation(true)]
+fn a_lease_is_asked_for_by_an_announced_clock(#[case] is_new: bool) {
+    let begin = Instant::now();
+    let (mut guard, _) = guard_with_runs(begin, 1);
+    let mut odd = announcement();
+    odd.sequence = 2;
+    odd.clock = Duration::from_hours(1);
+    odd.info.incarnation += u64::from(is_new);
+    let mut actions = guard.handle(later(begin, 10), GuardInput::Announced(odd));
+    actions.extend(guard.handle(later(begin, 70), GuardInput::Tick));
+    let mut asked = lists(actions).into_iter().filter_map(|order| order.until);
+    assert!(asked.all(|until| until < Duration::from_secs(2)));
+}
