Give room to sound jobs before one that crashed an endpoint

Cause: a job under which an endpoint crashed has begun, and begun jobs come first: it got the next room before all sound jobs and crashed the next endpoint. Its tasks waited at agents as the most urgent. Change: such a job counts neither as begun nor as able to meet its target, so that it comes last in its priority; its priority at agents is its route's. Test changed: room_is_assigned_twice_after_a_job_that_got_a_whole_endpoint had a sound job of the same priority behind the suspect, which goes first now; that job is given a less urgent priority, and the check is the same. Measured: a_suspect_gets_room_before_sound_jobs, 2 cases: both fail on, both pass; the tests crashes, placement and repeated_submissions pass.

--- a/crates/decisions/src/placement/caller_inputs.rs
+++ b/crates/decisions/src/placement/caller_inputs.rs
@@ -28,7 +28,8 @@
         let objective = Objective::new(now, &route, job, run_times);
         let id = job.id.clone();
         let caller = submission.caller;
-        let held = HeldJob::new(now, submission, objective);
+        let mut held = HeldJob::new(now, submission, objective);
+        held.is_suspect = self.crashes.most_under(&id) > 0;
         self.record(DecisionEvent::JobTaken {
             job: id,
             route: route.id.clone(),
--- a/crates/decisions/src/placement/crashes.rs
+++ b/crates/decisions/src/placement/crashes.rs
@@ -9,8 +9,9 @@
 impl Dispatcher {
     pub(super) fn count_crashes(&mut self, now: Instant, crashes: Vec<EndpointCrash>) {
         for crash in crashes {
-            for (caller, held) in &self.jobs {
+            for (caller, held) in &mut self.jobs {
                 if crash.tasks.iter().any(|task| task.job == held.job.id) {
+                    held.is_suspect = true;
                     self.changes.jobs.insert(*caller);
                 }
             }
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -43,6 +43,8 @@
     steps: Vec<HeldStep>,
     /// Whether some task may have run, even if it waits again.
     pub(crate) has_run: bool,
+    /// Whether an endpoint crashed while a task of the job was there.
+    pub(crate) is_suspect: bool,
     /// Highest number of a start that agents reported; 0 for none.
     pub(crate) highest_run: RunNumber,
 }
@@ -67,6 +69,7 @@
             tasks,
             steps,
             has_run: false,
+            is_suspect: false,
             highest_run: 0,
         }
     }
@@ -167,9 +170,9 @@
     }
 
     /// Returns the priority at endpoints. The rest of a job that has begun is as urgent as
-    /// any: its other tasks hold room for nothing until it ends.
+    /// any: its other tasks hold room for nothing until it ends. That of a suspect is not.
     pub(crate) fn priority(&self) -> u32 {
-        if self.may_have_run() {
+        if self.may_have_run() && !self.is_suspect {
             0
         } else {
             self.route.priority
--- a/crates/decisions/src/placement/placing.rs
+++ b/crates/decisions/src/placement/placing.rs
@@ -69,7 +69,7 @@
                 break;
             }
             if let Some(job) = self.jobs.get(caller) {
-                let is_alone = self.crashes.most_under(&job.job.id) > 0;
+                let is_alone = job.is_suspect;
                 let choice = candidates.choose(job, !has_changed(caller), is_alone);
                 choices.push((*caller, choice));
             }
@@ -89,7 +89,7 @@
         let Some(job) = self.jobs.get_mut(&caller) else {
             return;
         };
-        let is_alone = self.crashes.most_under(&job.job.id) > 0;
+        let is_alone = job.is_suspect;
         self.next_assignment += 1;
         self.by_assignment.insert(id, caller);
         let run_times = self.run_times.get(&job.route.id);
--- a/crates/decisions/src/placement/turn.rs
+++ b/crates/decisions/src/placement/turn.rs
@@ -8,8 +8,11 @@
 /// What decides when a waiting job gets room.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Turn {
-    /// Whether no task of the job may have run.
+    /// Whether no task of the job may have run, or the work that was done for it does not
+    /// count since an endpoint crashed under it.
     is_unstarted: bool,
+    /// Whether an endpoint crashed under the job.
+    is_suspect: bool,
     priority: u32,
     /// Latest start for an answer within the route's target.
     start_by: Instant,
@@ -23,7 +26,8 @@
 impl Turn {
     pub(crate) fn new(job: &HeldJob) -> Self {
         Self {
-            is_unstarted: !job.may_have_run(),
+            is_unstarted: job.is_suspect || !job.may_have_run(),
+            is_suspect: job.is_suspect,
             priority: job.route.priority,
             start_by: job.start_by(),
             last_start: job.last_start(),
@@ -36,12 +40,13 @@
     /// nobody, and its caller cannot be told that it has not run. Then the route's
     /// priority decides. Within one, jobs that can still meet the target come first, so
     /// that under overload not every job misses it; each group starts with the job that
-    /// has the least time left.
+    /// has the least time left. A job under which an endpoint crashed is neither begun nor
+    /// before others of its priority: it may crash the next endpoint, and needs a whole one.
     pub(crate) fn key(&self, now: Instant, caller: CallerId) -> TurnKey {
         (
             self.is_unstarted,
             self.priority,
-            self.misses_target(now),
+            self.is_suspect || self.misses_target(now),
             self.latest_start(now),
             caller,
         )
--- a/crates/decisions/tests/crash_site/site.rs
+++ b/crates/decisions/tests/crash_site/site.rs
@@ -27,6 +27,8 @@
     pub deadly: Vec<Arc<str>>,
     pub starts: Vec<Arc<str>>,
     pub completes: bool,
+    /// Priority of the jobs that are submitted.
+    pub priority: u32,
     pub ends: IndexMap<AgentId, Vec<ListedEnd>>,
     pub answers: Vec<(Arc<str>, JobOutcome)>,
 }
@@ -47,6 +49,7 @@
             deadly: Vec::new(),
             starts: Vec::new(),
             completes: false,
+            priority: 0,
             ends: IndexMap::new(),
             answers: Vec::new(),
         };
@@ -85,7 +88,7 @@
                 host: "host".into(),
                 path_prefix: "/path/".into(),
                 service: "service".into(),
-                priority: 0,
+                priority: self.priority,
                 attempts: 3,
                 stretch: 100.0,
                 target_latency: Duration::from_secs(10),
--- a/crates/decisions/tests/crashes.rs
+++ b/crates/decisions/tests/crashes.rs
@@ -280,6 +280,8 @@
     let mut site = Site::new(1);
     let jobs = ["00000000000000a1", SUSPECT_OF_OTHERS, "00000000000000a3"];
     for (at, job) in (20..).zip(jobs) {
+        // Only a less urgent job gets room after a suspect.
+        site.priority = u32::from(job == "00000000000000a3");
         site.submit_with_need(at, job, 1, room(2));
     }
     assert_eq!(site.starts.len(), 3);
@@ -321,3 +323,49 @@
     let expected = ["00000000000000a1", SUSPECT_OF_OTHERS];
     assert_eq!(assigned.collect::<Vec<_>>(), expected);
 }
+
+/// A job under which an endpoint had crashed counted as begun, got the next room before all
+/// sound jobs, and crashed the next endpoint.
+#[rstest]
+#[case::held(true)]
+#[case::submitted_again(false)]
+fn a_suspect_gets_room_before_sound_jobs(#[case] is_held: bool) {
+    const OCCUPYING: &str = "00000000000000e1";
+    let mut site = Site::new(1);
+    let first = if is_held { SUSPECT } else { OCCUPYING };
+    site.submit_with_need(20, first, 1, room(8));
+    let crashed = AgentUpdate {
+        crashes: vec![crash("w", &[SUSPECT])],
+        ..AgentUpdate::default()
+    };
+    site.dispatch(21, DispatchInput::Update("endpoint-0".into(), crashed));
+    if !is_held {
+        site.submit_with_need(22, SUSPECT, 1, room(8));
+    }
+    site.submit_with_need(23, "00000000000000a2", 1, room(8));
+    let ended = TaskEnd {
+        assignment: 1,
+        at: TaskPosition { step: 0, index: 0 },
+        kind: if is_held {
+            EndKind::Stopped
+        } else {
+            EndKind::Done
+        },
+        run: 1,
+        ran: Duration::from_millis(1),
+    };
+    let free = AgentUpdate {
+        free: room(8),
+        most_tasks: u16::MAX,
+        slowness: 1.0,
+        last_assignment: 1,
+        ends: vec![ended],
+        ..AgentUpdate::default()
+    };
+    let actions = site.dispatch(40, DispatchInput::Update("endpoint-0".into(), free));
+    let assigned = actions.iter().filter_map(|action| match action {
+        DispatchAction::Assign(_, assignment) => Some(&*assignment.job),
+        _ => None,
+    });
+    assert_eq!(assigned.collect::<Vec<_>>(), ["00000000000000a2"]);
+}
