Install the signal handlers before the settings are read

Cause: SIGHUP in the first 2 ms of a process ended it, since the handlers were installed when the loop began, after all connections. Change: Signals::install is the first call of the program and is handed to the loop. Measured: not measured; what is left is the time until the program's first instructions.

--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         AgentEvent, Directory, DirectoryEvent, DispatchError, EndpointOrders, SharedRouting,
+        Signals,
         agent_links::EntryLink,
         entry_dialers::EntryDialers,
         overlay_links::OverlayLinks,
@@ -24,7 +25,6 @@
         time::{Duration, Instant},
     },
     tokio::{
-        signal::unix::{SignalKind, signal},
         sync::mpsc::{Receiver, Sender, channel},
         time::{MissedTickBehavior, interval, sleep, sleep_until},
     },
@@ -65,6 +65,8 @@
     pub grace: Duration,
     /// The settings file, reloaded on SIGHUP.
     pub settings: Box<dyn SettingsFile>,
+    /// Signals that the process handles.
+    pub signals: Signals,
 }
 
 /// Event loop of an agent, which runs the tasks of all entries on one endpoint.
@@ -132,17 +134,16 @@
             grace: conf.grace,
             exit_by: None,
         };
-        this.serve(rx, link_rx, directory_rx).await
+        this.serve(conf.signals, rx, link_rx, directory_rx).await
     }
 
     async fn serve(
         mut self,
+        mut signals: Signals,
         mut rx: Receiver<AgentEvent>,
         mut links: Receiver<LinkEvent>,
         mut directory_events: Receiver<DirectoryEvent>,
     ) -> Result<(), DispatchError> {
-        let mut terminate = signal(SignalKind::terminate()).map_err(DispatchError::Signal)?;
-        let mut hang_up = signal(SignalKind::hangup()).map_err(DispatchError::Signal)?;
         let mut tick = interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.recorder.record_process("started", 0);
@@ -154,8 +155,8 @@
                 Some(event) = directory_events.recv() => self.handle_directory_event(event),
                 () = wait_until(next_wakeup) => self.handle_input(GuardInput::Tick),
                 _ = tick.tick() => self.tick(),
-                _ = terminate.recv() => self.start_shutdown(),
-                _ = hang_up.recv() => self.reload(),
+                _ = signals.terminate.recv() => self.start_shutdown(),
+                _ = signals.hang_up.recv() => self.reload(),
             }
         }
         self.close().await;
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         CallerEvent, CallerHandle, Directory, DirectoryEvent, DispatchError, SharedRouting,
+        Signals,
         directory_fallback::DirectoryFallback,
         entry_dialers::{ACCEPTED_LINK_TIMING, EntryDialers, SITE_TOKEN},
         entry_peers::EntryPeers,
@@ -23,7 +24,6 @@
     std::{net::SocketAddr, time::Duration},
     tokio::{
         net::TcpListener,
-        signal::unix::{SignalKind, signal},
         sync::{
             mpsc::{Receiver, channel},
             oneshot,
@@ -63,6 +63,8 @@
     pub grace: Duration,
     /// The settings file, reloaded on SIGHUP.
     pub settings: Box<dyn SettingsFile>,
+    /// Signals that the process handles.
+    pub signals: Signals,
 }
 
 /// Event loop of an entry that holds best-effort jobs.
@@ -137,17 +139,17 @@
             grace: conf.grace,
             shutdown: None,
         };
-        this.serve(callers, link_rx, directory_rx).await
+        this.serve(conf.signals, callers, link_rx, directory_rx)
+            .await
     }
 
     async fn serve(
         mut self,
+        mut signals: Signals,
         mut callers: Receiver<CallerEvent>,
         mut links: Receiver<LinkEvent>,
         mut directory_events: Receiver<DirectoryEvent>,
     ) -> Result<(), DispatchError> {
-        let mut terminate = signal(SignalKind::terminate()).map_err(DispatchError::Signal)?;
-        let mut hang_up = signal(SignalKind::hangup()).map_err(DispatchError::Signal)?;
         let mut tick = interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.recorder.record_process("started", 0);
@@ -156,8 +158,8 @@
             // links must not place tasks of a caller that is gone.
             tokio::select! {
                 biased;
-                _ = terminate.recv() => self.start_shutdown(),
-                _ = hang_up.recv() => self.reload(),
+                _ = signals.terminate.recv() => self.start_shutdown(),
+                _ = signals.hang_up.recv() => self.reload(),
                 Some(event) = callers.recv() => self.handle_caller_event(event),
                 _ = tick.tick() => self.tick(),
                 Some(event) = directory_events.recv() => self.handle_directory_event(event),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod reload;
 mod routing_sync;
 mod shared_routing;
+mod signals;
 
 pub use {
     agent_event::AgentEvent,
@@ -36,4 +37,5 @@
     errors::DispatchError,
     reload::{ReloadedSettings, SettingsFile},
     shared_routing::SharedRouting,
+    signals::Signals,
 };
