--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 mod reload;
 mod routing_sync;
 mod shared_routing;
+mod signals;
 
 pub use {
     agent_event::AgentEvent,
@@ -38,4 +39,5 @@
     errors::DispatchError,
     reload::{ReloadedSettings, SettingsFile},
     shared_routing::SharedRouting,
+    signals::Signals,
 };
