A bound on the bytes and connections that are held for clients

Cause: each body was collected whole for 3 s and held while its job waited; nothing bounded all bodies, heads, responses and connections together. Change: decisions::intake decides who gets bytes and places; net applies it: bodies are reserved before they are read (back-pressure first), the oldest body without progress is refused, idle connections yield to new ones, and a body is dropped once its job is decoded. Smaller buffers; 413 at once.

--- /dev/null
+++ b/crates/decisions/src/intake/intake_limits.rs
@@ -0,0 +1,85 @@
+//! What a process may hold on behalf of its clients.
+
+/// Most memory that one connection takes before its body is read, in bytes: the longest
+/// head with the buffers that it is read into, pieces of a body that were received and
+/// not taken yet, and the state of the connection.
+pub const CONNECTION_BYTES: usize = 48 * 1024;
+
+/// Part of the memory that connections may take; half of it stays for the process's own
+/// work, since what the allocator keeps counts too.
+const CONNECTIONS_PART: (usize, usize) = (3, 8);
+
+/// Part of the memory that bodies, and jobs made of them, may take.
+const BODIES_PART: (usize, usize) = (1, 8);
+
+/// Descriptors that are not available for sockets.
+const DESCRIPTORS_OF_FILES: usize = 200;
+
+/// Part of the other descriptors that connections of clients may take; the rest is for
+/// links, the store and endpoints.
+const DESCRIPTORS_PART: (usize, usize) = (3, 4);
+
+/// Longest body that may use the part of the budget kept for short ones, in bytes; four
+/// times the longest ordinary submission.
+pub const SHORT_BODY_BYTES: usize = 16 * 1024;
+
+/// Part of the budget that is kept for short bodies.
+const SHORT_PART: (usize, usize) = (1, 4);
+
+/// Most connections of a listener that few peers connect to.
+const FEW_CONNECTIONS: usize = 64;
+
+/// Most bytes of bodies at such a listener.
+const FEW_BYTES: usize = 2 << 20;
+
+/// What a process may hold on behalf of its clients.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct IntakeLimits {
+    /// Most open connections.
+    pub connections: usize,
+    /// Most bytes of bodies and of what was made of them, over all connections.
+    pub bytes: usize,
+}
+
+impl IntakeLimits {
+    /// Derives the limits from the memory of the machine, in bytes, and from the
+    /// descriptors that the process may open.
+    #[must_use]
+    pub fn of_machine(memory: usize, descriptors: usize) -> Self {
+        let sockets = descriptors.saturating_sub(DESCRIPTORS_OF_FILES);
+        let by_memory = part(memory, CONNECTIONS_PART) / CONNECTION_BYTES;
+        Self {
+            connections: by_memory.min(part(sockets, DESCRIPTORS_PART)).max(1),
+            bytes: part(memory, BODIES_PART),
+        }
+    }
+
+    /// Returns the limits of a listener that few peers connect to, none of them often.
+    #[must_use]
+    pub fn of_few() -> Self {
+        Self {
+            connections: FEW_CONNECTIONS,
+            bytes: FEW_BYTES,
+        }
+    }
+
+    /// Returns the longest body that can be admitted, in bytes.
+    #[must_use]
+    pub fn longest_body(&self) -> usize {
+        self.bytes - part(self.bytes, SHORT_PART)
+    }
+
+    /// Returns how many bytes may be held in total once a reservation of `total` bytes
+    /// is granted.
+    pub(super) fn ceiling(&self, total: usize) -> usize {
+        if total <= SHORT_BODY_BYTES {
+            self.bytes
+        } else {
+            self.longest_body()
+        }
+    }
+}
+
+fn part(of: usize, (numerator, denominator): (usize, usize)) -> usize {
+    of / denominator * numerator
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -8,6 +8,7 @@
 mod crashes;
 pub mod front;
 pub mod guard;
+pub mod intake;
 pub mod membership;
 pub mod overlay;
 pub mod owner;
--- a/crates/entry/src/callers/caller_handle.rs
+++ b/crates/entry/src/callers/caller_handle.rs
@@ -7,6 +7,7 @@
         problem::Problem,
     },
     chestnutrun_decisions::front::{Request, WaiterId},
+    chestnutrun_net::SharedIntake,
     chestnutrun_settings::RequestLimits,
     chestnutrun_types::{JobRef, Reply, Submit},
     ntex::{
@@ -29,6 +30,8 @@
     /// Queue of the loop.
     pub(crate) tx: Sender<Event>,
     pub(crate) limits: RequestLimits,
+    /// Connections of callers.
+    pub(crate) intake: SharedIntake,
     /// Id of the last waiter.
     pub(crate) last_waiter: Rc<Cell<WaiterId>>,
 }
--- a/crates/entry/src/callers/routes.rs
+++ b/crates/entry/src/callers/routes.rs
@@ -11,6 +11,7 @@
         problem::{Problem, method_not_allowed, not_found},
         request_body::discard_body,
     },
+    chestnutrun_net::RequestService,
     chestnutrun_settings::RequestLimits,
     chestnutrun_types::{JobRef, JobSpec},
     ntex::{
@@ -42,6 +43,7 @@
         tx,
         limits,
         last_waiter: Rc::new(Cell::new(0)),
+        intake: listener.intake.clone(),
     };
     let app = App::new()
         .state(handle)
@@ -76,7 +78,9 @@
 }
 
 async fn submit(req: HttpRequest, payload: Payload, handle: State<CallerHandle>) -> HttpResponse {
-    let result = try_submit(&req, payload, &handle).await;
+    let service = handle.intake.begin(req.io());
+    let result = try_submit(&req, payload, &handle, &service).await;
+    service.close();
     result.unwrap_or_else(|problem| problem.response())
 }
 
@@ -84,16 +88,19 @@
     req: &HttpRequest,
     payload: Payload,
     handle: &CallerHandle,
+    service: &RequestService,
 ) -> Result<HttpResponse, Problem> {
     let contract = path_segment(req, "contract");
-    let submit = read_submission(req, contract, payload, &handle.limits).await;
+    let submit = read_submission(req, contract, payload, service, &handle.limits).await;
     let wait = wait_time(req)?.unwrap_or(handle.limits.longest_wait);
     let submit = submit?;
     handle.submit(bearer_token(req), submit, wait).await
 }
 
 async fn query(req: HttpRequest, handle: State<CallerHandle>) -> HttpResponse {
+    let service = handle.intake.begin(req.io());
     let result = try_query(&req, &handle).await;
+    service.close();
     result.unwrap_or_else(|problem| problem.response())
 }
 
@@ -106,7 +113,9 @@
 }
 
 async fn cancel(req: HttpRequest, handle: State<CallerHandle>) -> HttpResponse {
+    let service = handle.intake.begin(req.io());
     let result = try_cancel(&req, &handle).await;
+    service.close();
     result.unwrap_or_else(|problem| problem.response())
 }
 
--- a/crates/entry/src/callers/submission.rs
+++ b/crates/entry/src/callers/submission.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{job_body::JobBody, problem::Problem, request_body::read_body},
+    chestnutrun_net::RequestService,
     chestnutrun_settings::RequestLimits,
     chestnutrun_types::{JobError, JobRef, JobSpec, Submit},
     ntex::{
@@ -29,9 +30,10 @@
     req: &HttpRequest,
     contract: &str,
     payload: Payload,
+    service: &RequestService,
     limits: &RequestLimits,
 ) -> Result<Submit, Problem> {
-    let buf = read_body(req, payload, limits).await;
+    let buf = read_body(req, payload, service, limits).await;
     let key = idempotency_key(req)?;
     let may_be_older = header_text(req, ATTEMPT_HEADER) != Some(FIRST_ATTEMPT);
     let buf = buf?;
@@ -40,7 +42,7 @@
         .into_spec(SystemTime::now())
         .map_err(|error| bad_request("bad-deadline", error.to_string()))?;
     spec.check().map_err(|error| bad_job(&error))?;
-    Ok(Submit {
+    let submit = Submit {
         job: JobRef {
             contract: contract.into(),
             key: key.into(),
@@ -49,7 +51,9 @@
         digest: xxh3_128(&buf),
         may_be_older,
         wants_receipt: false,
-    })
+    };
+    service.release_body(buf.len());
+    Ok(submit)
 }
 
 /// Parses a JSON body; a problem names the line and column of the error.
--- a/crates/entry/src/daemon/start.rs
+++ b/crates/entry/src/daemon/start.rs
@@ -8,7 +8,9 @@
         listener::Listener,
         operators::{self, OperatorHandle},
     },
-    chestnutrun_net::{HttpLimits, LinkIds, LinkServerConf, LinkTiming, serve_links, tls_config},
+    chestnutrun_net::{
+        HttpLimits, LinkIds, LinkServerConf, LinkTiming, SharedIntake, serve_links, tls_config,
+    },
     chestnutrun_observe::{Metrics, Timeline, start_logs},
     chestnutrun_settings::{EntryConf, TlsConf, load},
     chestnutrun_table::HttpTable,
@@ -52,11 +54,13 @@
     let table = HttpTable::new(conf.table, table_client().await?);
     let ids = LinkIds::default();
     let links = Links::new(me.clone(), site_token.clone(), ids.clone(), link_tx.clone());
+    let operators_intake = SharedIntake::default();
     ntex::rt::spawn(callers::serve(
         Listener {
             socket: callers_listener,
             name: "callers",
             limits: callers_limits(&conf),
+            intake: SharedIntake::default(),
             tls: callers_tls,
         },
         tx.clone(),
@@ -67,10 +71,12 @@
             socket: operators_listener,
             name: "operators",
             limits: operators::LIMITS,
+            intake: operators_intake.clone(),
             tls: operators_tls,
         },
         OperatorHandle {
             tx: tx.clone(),
+            intake: operators_intake,
             token: operator_token,
             store: Rc::new(table.clone()),
         },
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::problem::Problem,
-    chestnutrun_net::{HttpLimits, RequestFault, ServeConf, http_config, serve_http_with},
+    chestnutrun_net::{
+        HttpLimits, RequestFault, ServeConf, SharedIntake, http_config, serve_http_with,
+    },
     ntex::{
         SharedCfg,
         http::{Request, Response, StatusCode},
@@ -23,6 +25,8 @@
     pub(crate) name: &'static str,
     /// Limits of headers and of idle connections.
     pub(crate) limits: HttpLimits,
+    /// Bounds connections and the bytes that are held for them.
+    pub(crate) intake: SharedIntake,
     /// TLS configuration; none for plain HTTP.
     pub(crate) tls: Option<Arc<ServerConfig>>,
 }
@@ -39,6 +43,7 @@
         let conf = ServeConf {
             cfg: http_config(self.name, self.limits),
             fault_response,
+            intake: self.intake,
             tls: self.tls,
         };
         serve_http_with(self.socket, app, conf).await;
--- a/crates/entry/src/operators/changes.rs
+++ b/crates/entry/src/operators/changes.rs
@@ -38,7 +38,9 @@
     handle: State<OperatorHandle>,
 ) -> HttpResponse {
     let limits = RequestLimits::default();
-    let body = read_body(&req, payload, &limits).await;
+    let service = handle.intake.begin(req.io());
+    let body = read_body(&req, payload, &service, &limits).await;
+    service.close();
     let row = handle
         .check_token(&req)
         .and(body)
--- a/crates/entry/src/operators/operator_handle.rs
+++ b/crates/entry/src/operators/operator_handle.rs
@@ -6,6 +6,7 @@
         operators::{OperatorReply, OperatorRequest},
         problem::Problem,
     },
+    chestnutrun_net::SharedIntake,
     chestnutrun_table::ConfigurationStore,
     chestnutrun_types::{Revision, TableRow},
     ntex::{
@@ -23,6 +24,8 @@
 pub(crate) struct OperatorHandle {
     /// Queue of the loop.
     pub(crate) tx: Sender<Event>,
+    /// Connections of operators.
+    pub(crate) intake: SharedIntake,
     /// Token that operators must send.
     pub(crate) token: Rc<str>,
     /// Store to which changes are written and from which their history is read.
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -1,67 +1,62 @@
-//! Reads request bodies within limits of size and time.
+//! Reads request bodies within limits of size, time and memory.
 
 use {
     crate::problem::Problem,
-    chestnutrun_net::collect_body,
+    chestnutrun_net::{BodyFault, BodyLimits, RequestService, collect_body},
     chestnutrun_settings::RequestLimits,
     ntex::{
-        http::{StatusCode, header},
-        util::BytesMut,
+        http::StatusCode,
         web::{HttpRequest, types::Payload},
     },
     std::time::Duration,
-    tokio::time::timeout,
 };
 
-/// Longest body that is read and discarded, in bytes.
-const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
-
-/// How long a discarded body may take to arrive.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limits of a body that is read and dropped.
+const DISCARD_LIMITS: BodyLimits = BodyLimits {
+    max_bytes: 1024 * 1024,
+    timeout: Duration::from_secs(1),
+};
 
 /// Reads a whole body. If this returns a problem, no part of the request ran.
 pub(crate) async fn read_body(
     req: &HttpRequest,
     payload: Payload,
+    service: &RequestService,
     limits: &RequestLimits,
-) -> Result<BytesMut, Problem> {
-    let declared = content_length(req).unwrap_or_default();
-    let reading = collect_body(payload, limits.body_size.bytes(), declared);
-    match timeout(limits.body_timeout, reading).await {
-        Ok(Ok(Some(buf))) => Ok(buf),
-        Ok(Ok(None)) => Err(body_too_long(limits)),
-        Ok(Err(detail)) => Err(Problem::new(
-            StatusCode::BAD_REQUEST,
-            "body-cut-off",
-            detail,
-        )),
-        Err(_) => Err(Problem::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "body-too-slow",
-            "the body did not arrive in time",
-        )),
-    }
+) -> Result<Vec<u8>, Problem> {
+    let body_limits = BodyLimits {
+        max_bytes: limits.body_size.bytes(),
+        timeout: limits.body_timeout,
+    };
+    let body = collect_body(req, payload, body_limits, service).await;
+    body.map_err(|fault| body_problem(&fault, limits))
 }
 
-/// Reads and discards a body, so that the connection can be reused.
+/// Reads and drops a body, so that the connection can be reused. If the body exceeds a
+/// limit, the connection is closed after the response.
 pub(crate) async fn discard_body(payload: Payload) {
-    // If the body exceeds a limit, the connection is closed after the response.
-    let _ = timeout(
-        DISCARD_TIMEOUT,
-        collect_body(payload, MAX_DISCARDED_BYTES, 0),
-    )
-    .await;
+    chestnutrun_net::discard_body(payload, DISCARD_LIMITS).await;
 }
 
-fn body_too_long(limits: &RequestLimits) -> Problem {
-    Problem::new(
-        StatusCode::PAYLOAD_TOO_LARGE,
-        "body-too-long",
-        format!("a body has at most {}", limits.body_size),
-    )
-}
-
-fn content_length(req: &HttpRequest) -> Option<usize> {
-    let value = req.headers().get(header::CONTENT_LENGTH)?;
-    value.to_str().ok()?.parse().ok()
+fn body_problem(fault: &BodyFault, limits: &RequestLimits) -> Problem {
+    match fault {
+        BodyFault::TooLong => Problem::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body-too-long",
+            format!("a body has at most {}", limits.body_size),
+        ),
+        BodyFault::TooSlow => Problem::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "body-too-slow",
+            fault.to_string(),
+        ),
+        BodyFault::NoBytes => Problem::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no-memory-for-body",
+            fault.to_string(),
+        ),
+        BodyFault::Broken(detail) => {
+            Problem::new(StatusCode::BAD_REQUEST, "body-cut-off", detail.clone())
+        }
+    }
 }
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -1,14 +1,18 @@
 //! HTTP listeners, served on the process's single event loop.
 
 use {
-    crate::request_fault::{FaultResponse, answer_control, plain_fault},
+    crate::{
+        SharedIntake,
+        request_fault::{FaultResponse, answer_control, plain_fault},
+    },
     ntex::{
         SharedCfg,
         connect::rustls::TlsAcceptor,
         http::{HttpService, HttpServiceConfig, Request, error::DispatchError, h1::Control},
-        io::{Filter, Io},
+        io::{Filter, Io, IoConfig},
         service::{IntoServiceFactory, ServiceFactory, fn_service},
         time::Seconds,
+        util::BytePageSize,
         web::{WebResponse, error::ErrorContainer},
     },
     rustls::ServerConfig,
@@ -19,6 +23,20 @@
 /// Delay before the next accept after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Longest head of a request, in bytes; half as much again as the users' sites allow.
+const MAX_HEAD_BYTES: usize = 24 * 1024;
+
+/// Size of a connection's read buffer, in bytes; most requests arrive with one read. It
+/// also bounds the pieces of a body that wait to be taken: at 6 bytes for the shortest
+/// chunk, 1,024.
+const READ_BUFFER_BYTES: usize = 6 * 1024 - 24;
+
+/// Unused bytes of a read buffer below which it is replaced.
+const MIN_READ_BYTES: usize = 512;
+
+/// Read buffers that a listener keeps for the next connections.
+const KEPT_READ_BUFFERS: usize = 32;
+
 /// Limits that an HTTP listener sets for its connections.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpLimits {
@@ -36,11 +54,16 @@
     let service = HttpServiceConfig::new()
         .set_max_headers(limits.max_headers)
         .set_keepalive(seconds(limits.keep_alive))
-        .set_client_timeout(seconds(limits.head_timeout));
-    SharedCfg::new(name).add(service).into()
+        .set_client_timeout(seconds(limits.head_timeout))
+        .set_max_buf_size(MAX_HEAD_BYTES);
+    let io = IoConfig::new()
+        .set_read_buf(READ_BUFFER_BYTES, MIN_READ_BYTES, KEPT_READ_BUFFERS)
+        .set_write_page_size(BytePageSize::Size4);
+    SharedCfg::new(name).add(service).add(io).into()
 }
 
-/// Serves an application over plain HTTP until the process ends.
+/// Serves an application over plain HTTP until the process ends, with an intake of its
+/// own.
 pub async fn serve_http<S, U, E>(listener: TcpListener, app: U, cfg: SharedCfg)
 where
     U: IntoServiceFactory<S, Request, SharedCfg>,
@@ -51,6 +74,29 @@
     let conf = ServeConf {
         cfg,
         fault_response: plain_fault,
+        intake: SharedIntake::default(),
+        tls: None,
+    };
+    serve_http_with(listener, app, conf).await;
+}
+
+/// Serves an application over plain HTTP until the process ends, within the limits of an
+/// intake.
+pub async fn serve_http_within<S, U, E>(
+    listener: TcpListener,
+    app: U,
+    cfg: SharedCfg,
+    intake: SharedIntake,
+) where
+    U: IntoServiceFactory<S, Request, SharedCfg>,
+    S: ServiceFactory<Request, SharedCfg, Response = WebResponse, Error = E, InitError = ()>
+        + 'static,
+    E: ErrorContainer + 'static,
+{
+    let conf = ServeConf {
+        cfg,
+        fault_response: plain_fault,
+        intake,
         tls: None,
     };
     serve_http_with(listener, app, conf).await;
@@ -63,6 +109,8 @@
     pub cfg: SharedCfg,
     /// Creates the responses to requests that do not reach the application.
     pub fault_response: FaultResponse,
+    /// Bounds connections and the bytes that are held for them.
+    pub intake: SharedIntake,
     /// Configuration of TLS; none serves plain HTTP.
     pub tls: Option<Arc<ServerConfig>>,
 }
@@ -78,15 +126,20 @@
     let ServeConf {
         cfg,
         fault_response,
+        intake,
         tls,
     } = conf;
     let app = app.into_factory();
     match tls {
-        None => accept(listener, http_service(app, fault_response), cfg).await,
+        None => {
+            let http = http_service(app, fault_response, intake.clone());
+            accept(listener, http, cfg, intake).await;
+        }
         Some(tls) => {
-            let http = http_service(app, fault_response).map_err(|e| format!("{e:?}"));
+            let http = http_service(app, fault_response, intake.clone());
+            let http = http.map_err(|e| format!("{e:?}"));
             let acceptor = TlsAcceptor::new(tls).map_err(|e: io::Error| e.to_string());
-            accept(listener, acceptor.and_then(http), cfg).await;
+            accept(listener, acceptor.and_then(http), cfg, intake).await;
         }
     }
 }
@@ -94,6 +147,7 @@
 fn http_service<F, S, E>(
     app: S,
     fault_response: FaultResponse,
+    intake: SharedIntake,
 ) -> impl ServiceFactory<Io<F>, SharedCfg, Response = (), Error = DispatchError, InitError = ()>
 where
     F: Filter,
@@ -101,14 +155,15 @@
         + 'static,
     E: ErrorContainer + 'static,
 {
-    let on_control = move |message: Control<F, E>| async move {
-        Ok::<_, io::Error>(answer_control(message, fault_response))
+    let on_control = move |message: Control<F, E>| {
+        let answer = answer_control(message, fault_response, &intake);
+        async move { Ok::<_, io::Error>(answer) }
     };
     HttpService::new(app).h1_control(fn_service(on_control))
 }
 
 /// Accepts connections and serves each in a task of its own.
-async fn accept<S>(listener: TcpListener, factory: S, cfg: SharedCfg)
+async fn accept<S>(listener: TcpListener, factory: S, cfg: SharedCfg, intake: SharedIntake)
 where
     S: ServiceFactory<Io, SharedCfg, Response = ()> + 'static,
     S::Error: fmt::Debug,
@@ -126,13 +181,21 @@
                 continue;
             }
         };
+        intake.until_place().await;
         let io = stream
             .into_std()
             .and_then(|stream| ntex::rt::from_tcp_stream(stream, cfg.clone()));
         match io {
             Ok(io) => {
-                let pipeline = pipeline.clone();
-                ntex::rt::spawn(async move { log_error(pipeline.call(io).await) });
+                let (pipeline, intake) = (pipeline.clone(), intake.clone());
+                let io_id = io.id();
+                let id = intake.open(&io.get_ref());
+                ntex::rt::spawn(async move {
+                    log_error(pipeline.call(io).await);
+                    // The library's tasks close the descriptor when they run next.
+                    tokio::task::yield_now().await;
+                    intake.close(id, io_id);
+                });
             }
             Err(error) => log::warn!("HTTP connection dropped before it was served: {error}"),
         }
--- /dev/null
+++ b/crates/net/src/intake.rs
@@ -0,0 +1,289 @@
+//! Applies the decisions of [`Intake`] to the connections of HTTP listeners.
+
+use {
+    crate::{ClosingCause, closings::Closings},
+    chestnutrun_decisions::intake::{Admission, ConnectionId, Intake, IntakeAction, IntakeLimits},
+    chestnutrun_types::Now,
+    indexmap::IndexMap,
+    ntex::io::{Id, IoRef},
+    std::{
+        cell::{Cell, RefCell},
+        fmt,
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::{sync::Notify, time::timeout},
+};
+
+/// Limits of listeners whose process sets none: those of 512 MB and 8,192 descriptors.
+const DEFAULT_MEMORY_BYTES: usize = 512 << 20;
+const DEFAULT_DESCRIPTORS: usize = 8_192;
+
+/// Interval at which a new connection looks for one that yields its place.
+const PLACE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Shortest time between two checks for stalled bodies.
+const MIN_CHECK_DELAY: Duration = Duration::from_millis(10);
+
+/// Connections of one or several listeners, and the bytes that are held for them; clones
+/// share them.
+#[derive(Clone)]
+pub struct SharedIntake(Rc<Shared>);
+
+struct Shared {
+    machine: RefCell<Intake>,
+    connections: RefCell<IndexMap<Id, Connection>>,
+    last_connection: Cell<ConnectionId>,
+    is_check_scheduled: Cell<bool>,
+    /// Listeners with a new connection that waits for a place.
+    awaited_places: Cell<usize>,
+    place_freed: Notify,
+    closings: Closings,
+}
+
+struct Connection {
+    id: ConnectionId,
+    io: IoRef,
+    signal: Rc<BodySignal>,
+}
+
+/// What the machine decided on the body of a connection.
+#[derive(Default)]
+pub(crate) struct BodySignal {
+    pub(crate) is_refused: Cell<bool>,
+    pub(crate) is_granted: Cell<bool>,
+    pub(crate) changed: Notify,
+}
+
+impl fmt::Debug for SharedIntake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SharedIntake")
+            .field("limits", &self.0.machine.borrow().limits())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Default for SharedIntake {
+    fn default() -> Self {
+        Self::new(IntakeLimits::of_machine(
+            DEFAULT_MEMORY_BYTES,
+            DEFAULT_DESCRIPTORS,
+        ))
+    }
+}
+
+impl SharedIntake {
+    /// Creates the intake of listeners that share these limits.
+    #[must_use]
+    pub fn new(limits: IntakeLimits) -> Self {
+        Self(Rc::new(Shared {
+            machine: RefCell::new(Intake::new(limits)),
+            connections: RefCell::default(),
+            last_connection: Cell::new(0),
+            is_check_scheduled: Cell::new(false),
+            awaited_places: Cell::new(0),
+            place_freed: Notify::new(),
+            closings: Closings::default(),
+        }))
+    }
+
+    /// Returns the open connections, the reserved bytes and the closings by cause, as
+    /// lines of metrics with this label.
+    #[must_use]
+    pub fn metrics(&self, listener: &str) -> String {
+        let (connections, bytes) = {
+            let machine = self.0.machine.borrow();
+            (machine.connections(), machine.reserved())
+        };
+        format!(
+            "chestnutrun_client_connections{{listener=\"{listener}\"}} {connections}\n\
+             chestnutrun_client_bytes{{listener=\"{listener}\"}} {bytes}\n{}",
+            self.0.closings.metrics(listener)
+        )
+    }
+
+    /// Counts a closed connection or a refused request.
+    pub(crate) fn record(&self, cause: ClosingCause) {
+        self.0.closings.record(cause);
+    }
+
+    /// Waits until a connection may be opened; closes one that made no progress if there
+    /// is no place.
+    pub(crate) async fn until_place(&self) {
+        if self.0.machine.borrow().has_place() {
+            return;
+        }
+        self.0.awaited_places.update(|listeners| listeners + 1);
+        while !self.0.machine.borrow().has_place() {
+            let action = self.0.machine.borrow_mut().make_place(Now::read().instant);
+            if let Some(action) = action {
+                self.record(ClosingCause::NoPlace);
+                self.apply(action);
+            }
+            // Whether a place was freed is read again in either case.
+            let _ = timeout(PLACE_INTERVAL, self.0.place_freed.notified()).await;
+        }
+        self.0.awaited_places.update(|listeners| listeners - 1);
+    }
+
+    /// Adds a connection and returns its number.
+    pub(crate) fn open(&self, io: &IoRef) -> ConnectionId {
+        let id = self.0.last_connection.get() + 1;
+        self.0.last_connection.set(id);
+        let mut machine = self.0.machine.borrow_mut();
+        machine.open(id, Now::read().instant);
+        let connection = Connection {
+            id,
+            io: io.clone(),
+            signal: Rc::default(),
+        };
+        self.0.connections.borrow_mut().insert(io.id(), connection);
+        id
+    }
+
+    /// Removes a connection that ended. The library may have given its id to a new one.
+    pub(crate) fn close(&self, id: ConnectionId, io: Id) {
+        let mut connections = self.0.connections.borrow_mut();
+        if connections.get(&io).is_some_and(|c| c.id == id) {
+            connections.swap_remove(&io);
+        }
+        drop(connections);
+        self.0.machine.borrow_mut().close(id);
+        self.0.place_freed.notify_one();
+        self.check();
+    }
+
+    /// Marks the request of a connection as in service, until the service is closed.
+    #[must_use]
+    pub fn begin(&self, io: Option<&IoRef>) -> RequestService {
+        let connections = self.0.connections.borrow();
+        let connection = io.and_then(|io| connections.get(&io.id()));
+        if let Some(connection) = connection {
+            connection.signal.is_granted.set(false);
+            connection.signal.is_refused.set(false);
+            self.0.machine.borrow_mut().begin(connection.id);
+        }
+        RequestService {
+            intake: self.clone(),
+            id: connection.map_or(0, |c| c.id),
+            signal: connection.map_or_else(Rc::default, |c| c.signal.clone()),
+        }
+    }
+
+    /// Carries out what is due, and schedules the next check while connections wait.
+    fn check(&self) {
+        if !self.0.machine.borrow().has_waiting() {
+            return;
+        }
+        let actions = self.0.machine.borrow_mut().poll(Now::read().instant);
+        for action in actions {
+            self.apply(action);
+        }
+        let next = self.0.machine.borrow().next_check();
+        let Some(at) = next.filter(|_| !self.0.is_check_scheduled.get()) else {
+            return;
+        };
+        self.0.is_check_scheduled.set(true);
+        let delay = at.saturating_duration_since(Now::read().instant);
+        let this = self.clone();
+        ntex::rt::spawn(async move {
+            tokio::time::sleep(delay.max(MIN_CHECK_DELAY)).await;
+            this.0.is_check_scheduled.set(false);
+            this.check();
+        });
+    }
+
+    fn apply(&self, action: IntakeAction) {
+        let (IntakeAction::Grant(id) | IntakeAction::RefuseStalled(id) | IntakeAction::Close(id)) =
+            action;
+        let connections = self.0.connections.borrow();
+        let Some(connection) = connections.values().find(|c| c.id == id) else {
+            return;
+        };
+        match action {
+            IntakeAction::Grant(_) => connection.signal.is_granted.set(true),
+            IntakeAction::RefuseStalled(_) => connection.signal.is_refused.set(true),
+            IntakeAction::Close(_) => {
+                let io = connection.io.clone();
+                drop(connections);
+                io.terminate();
+                return;
+            }
+        }
+        connection.signal.changed.notify_one();
+    }
+}
+
+/// A request in service.
+pub struct RequestService {
+    intake: SharedIntake,
+    id: ConnectionId,
+    pub(crate) signal: Rc<BodySignal>,
+}
+
+impl fmt::Debug for RequestService {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RequestService")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
+}
+
+impl RequestService {
+    /// Ends the service; the response leaves next.
+    pub fn close(self) {
+        let now = Now::read().instant;
+        self.intake.0.machine.borrow_mut().finish(self.id, now);
+        self.intake.check();
+    }
+
+    /// Returns whether the response should close its connection, because a new
+    /// connection waits for a place.
+    #[must_use]
+    pub fn is_place_awaited(&self) -> bool {
+        self.intake.0.awaited_places.get() > 0
+    }
+
+    /// Frees what is reserved for the body, but for `kept` bytes.
+    pub fn release_body(&self, kept: usize) {
+        self.intake.0.machine.borrow_mut().end_body(self.id, kept);
+        self.intake.check();
+    }
+
+    pub(crate) fn begin_body(&self, declared: Option<usize>, longest: usize) -> Admission {
+        let now = Now::read().instant;
+        let mut machine = self.intake.0.machine.borrow_mut();
+        let admission = machine.begin_body(self.id, declared, longest, now);
+        drop(machine);
+        self.checked(admission)
+    }
+
+    pub(crate) fn reserve(&self, total: usize) -> Admission {
+        let now = Now::read().instant;
+        let admission = self
+            .intake
+            .0
+            .machine
+            .borrow_mut()
+            .reserve(self.id, total, now);
+        self.checked(admission)
+    }
+
+    pub(crate) fn progress(&self) {
+        let now = Now::read().instant;
+        self.intake.0.machine.borrow_mut().progress(self.id, now);
+    }
+
+    pub(crate) fn record(&self, cause: ClosingCause) {
+        self.intake.record(cause);
+    }
+
+    /// Schedules a check if the body has to wait.
+    fn checked(&self, admission: Admission) -> Admission {
+        if admission == Admission::Wait {
+            self.signal.is_granted.set(false);
+            self.intake.check();
+        }
+        admission
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,8 +2,10 @@
 //! process's single event loop.
 
 mod body;
+mod closings;
 mod errors;
 mod http;
+mod intake;
 mod link;
 mod link_client;
 mod link_server;
@@ -12,9 +14,11 @@
 mod tls;
 
 pub use {
-    body::collect_body,
+    body::{BodyFault, BodyLimits, collect_body, discard_body},
+    closings::ClosingCause,
     errors::LinkError,
-    http::{HttpLimits, ServeConf, http_config, serve_http, serve_http_with},
+    http::{HttpLimits, ServeConf, http_config, serve_http, serve_http_with, serve_http_within},
+    intake::{RequestService, SharedIntake},
     link::{Link, LinkEvent, LinkId, LinkIds, LinkTiming, PeerName},
     link_client::{Dialer, DialerConf},
     link_server::{LinkServerConf, serve_links},
--- a/crates/net/src/request_fault.rs
+++ b/crates/net/src/request_fault.rs
@@ -1,13 +1,16 @@
 //! Responses to requests that do not reach the application.
 
-use ntex::{
-    http::{
-        Response,
-        error::DecodeError,
-        h1::{Control, ControlAck, ProtocolError, control::Reason},
+use {
+    crate::{ClosingCause, SharedIntake},
+    ntex::{
+        http::{
+            Response,
+            error::DecodeError,
+            h1::{Control, ControlAck, ProtocolError, control::Reason},
+        },
+        io::Filter,
+        web::error::ErrorContainer,
     },
-    io::Filter,
-    web::error::ErrorContainer,
 };
 
 /// Why a request did not reach the application.
@@ -29,10 +32,18 @@
 pub(crate) fn answer_control<F: Filter, E: ErrorContainer>(
     message: Control<F, E>,
     fault_response: FaultResponse,
+    intake: &SharedIntake,
 ) -> ControlAck<F> {
     match message {
         Control::Disconnect(Reason::ProtocolError(error)) => match request_fault(error.err()) {
-            Some(fault) => error.fail_with(fault_response(fault)),
+            Some(fault) => {
+                match fault {
+                    RequestFault::HeadTooLarge => intake.record(ClosingCause::LargeHead),
+                    RequestFault::HeadTooSlow => intake.record(ClosingCause::SlowHead),
+                    RequestFault::Malformed => {}
+                }
+                error.fail_with(fault_response(fault))
+            }
             None => error.ack(),
         },
         message => message.ack(),
