--- a/crates/decisions/src/intake/intake_machine.rs
+++ b/crates/decisions/src/intake/intake_machine.rs
@@ -127,7 +127,9 @@
             progress_at: now,
             reserved: 0,
         };
-        self.connections.insert(id, connection);
+        if let Some(earlier) = self.connections.insert(id, connection) {
+            self.reserved -= earlier.reserved;
+        }
     }
 
     /// Marks a request of a connection as in service.
--- /dev/null
+++ b/crates/decisions/tests/intake.rs
@@ -0,0 +1,153 @@
+//! Tests of who gets bytes and places of a process whose clients keep to no limits: over
+//! arrivals, stalls and closings the budget is never exceeded, nobody waits for ever, and
+//! an ordinary request after the crowd gets its bytes.
+
+use {
+    chestnutrun_decisions::intake::{Admission, ConnectionId, Intake, IntakeAction, IntakeLimits},
+    proptest::prelude::*,
+    rstest::rstest,
+    std::time::{Duration, Instant},
+};
+
+const LIMITS: IntakeLimits = IntakeLimits {
+    connections: 6,
+    bytes: 400_000,
+};
+
+/// Longest body of the tests, which fits the part of the budget that is not kept for
+/// short ones.
+const LONGEST: usize = 262_144;
+
+/// An ordinary body.
+const ORDINARY: usize = 1_000;
+
+const STEP: Duration = Duration::from_millis(100);
+
+/// Steps in which whoever waits has to be served: each stalled body yields in turn.
+const MAX_STEPS: usize = 50;
+
+/// Does what a front end does: a refused request ends, a closed connection is removed.
+fn carry_out(intake: &mut Intake, actions: Vec<IntakeAction>, now: Instant) {
+    for action in actions {
+        match action {
+            IntakeAction::Grant(_) => {}
+            IntakeAction::RefuseStalled(id) => {
+                intake.finish(id, now);
+                intake.close(id);
+            }
+            IntakeAction::Close(id) => intake.close(id),
+        }
+    }
+}
+
+/// Opens a connection as a listener does; returns whether a place was found.
+fn open(intake: &mut Intake, id: ConnectionId, now: &mut Instant) -> bool {
+    for _ in 0..MAX_STEPS {
+        if intake.has_place() {
+            intake.open(id, *now);
+            return true;
+        }
+        let action = intake.make_place(*now);
+        carry_out(intake, action.into_iter().collect(), *now);
+        *now += STEP;
+    }
+    false
+}
+
+/// Begins a body and returns whether its bytes are granted in the end.
+fn read(intake: &mut Intake, id: ConnectionId, bytes: usize, now: &mut Instant) -> bool {
+    intake.begin(id);
+    if intake.begin_body(id, Some(bytes), LONGEST, *now) == Admission::Granted {
+        return true;
+    }
+    for _ in 0..MAX_STEPS {
+        *now += STEP;
+        let actions = intake.poll(*now);
+        let is_granted = actions.contains(&IntakeAction::Grant(id));
+        carry_out(intake, actions, *now);
+        if is_granted {
+            return true;
+        }
+    }
+    false
+}
+
+#[rstest]
+fn a_long_body_waits_until_the_one_without_progress_yields() {
+    let mut now = Instant::now();
+    let mut intake = Intake::new(LIMITS);
+    for id in 1..=2 {
+        intake.open(id, now);
+        intake.begin(id);
+    }
+    let first = intake.begin_body(1, Some(LONGEST), LONGEST, now);
+    assert_eq!(first, Admission::Granted);
+    let second = intake.begin_body(2, Some(LONGEST), LONGEST, now);
+    assert_eq!(second, Admission::Wait);
+    assert!(intake.poll(now).is_empty());
+    now = intake.next_check().expect("a check is due");
+    assert_eq!(intake.poll(now), [IntakeAction::RefuseStalled(1)]);
+    assert!(intake.poll(now).is_empty(), "the first yields only once");
+    intake.finish(1, now);
+    assert_eq!(intake.poll(now), [IntakeAction::Grant(2)]);
+}
+
+#[rstest]
+fn a_body_over_the_limit_is_refused_at_once() {
+    let mut intake = Intake::new(LIMITS);
+    let now = Instant::now();
+    intake.open(1, now);
+    let admission = intake.begin_body(1, Some(LONGEST + 1), LONGEST, now);
+    assert_eq!(admission, Admission::TooLong);
+    assert_eq!(intake.reserved(), 0);
+}
+
+#[rstest]
+fn a_request_in_service_never_yields_its_place() {
+    let mut intake = Intake::new(LIMITS);
+    let now = Instant::now();
+    for id in 0..LIMITS.connections {
+        intake.open(id, now);
+        intake.begin(id);
+    }
+    assert_eq!(intake.make_place(now + Duration::from_mins(1)), None);
+}
+
+proptest! {
+    #[test]
+    fn an_ordinary_request_after_a_crowd_gets_its_bytes(
+        steps in prop::collection::vec((0_usize..5, 0_usize..12, 1_usize..300_000), 1..200),
+    ) {
+        let mut now = Instant::now();
+        let mut intake = Intake::new(LIMITS);
+        for (kind, id, bytes) in steps {
+            now += Duration::from_millis(u64::try_from(bytes % 70).unwrap());
+            match kind {
+                0 if intake.has_place() => intake.open(id, now),
+                1 => {
+                    intake.begin(id);
+                    let declared = (bytes % 3 > 0).then_some(bytes);
+                    intake.begin_body(id, declared, LONGEST, now);
+                }
+                2 => intake.progress(id, now),
+                3 => intake.close(id),
+                4 => intake.finish(id, now),
+                _ => {}
+            }
+            let actions = intake.poll(now);
+            carry_out(&mut intake, actions, now);
+            prop_assert!(intake.reserved() <= LIMITS.bytes);
+            prop_assert!(intake.connections() <= LIMITS.connections);
+        }
+        // What is in service ends by its deadline.
+        let ordinary = 100;
+        if !open(&mut intake, ordinary, &mut now) {
+            for id in 0..12 {
+                intake.finish(id, now);
+            }
+            prop_assert!(open(&mut intake, ordinary, &mut now));
+        }
+        prop_assert!(read(&mut intake, ordinary, ORDINARY, &mut now));
+        prop_assert!(intake.reserved() <= LIMITS.bytes);
+    }
+}
