--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod evacuation;
 pub mod front;
 pub mod guard;
+pub mod intake;
 pub mod membership;
 pub mod overlay;
 pub mod owner;
