Keep cancelled jobs at agents, for entries that start anew

Change: entries tell agents of cancelled jobs, which keep them within the same bounds and tell each entry that opens a link before it learns of their endpoint.

--- a/crates/decisions/src/placement/cancelled_jobs.rs
+++ b/crates/decisions/src/placement/cancelled_jobs.rs
@@ -19,7 +19,7 @@
 /// Jobs that were cancelled a short time ago, with the moment until which each is
 /// remembered.
 #[derive(Debug, Default)]
-pub(crate) struct CancelledJobs {
+pub struct CancelledJobs {
     jobs: IndexMap<JobId, Instant>,
 }
 
@@ -30,9 +30,9 @@
         self.insert_until(now, job, now + KEPT_FOR)
     }
 
-    /// Remembers a job that was cancelled at another entry; returns whether it was not
+    /// Remembers a job that was cancelled at another process; returns whether it was not
     /// remembered before.
-    pub(crate) fn insert_remote(&mut self, now: Instant, cancelled: &CancelledJob) -> bool {
+    pub fn insert_remote(&mut self, now: Instant, cancelled: &CancelledJob) -> bool {
         let until = now + cancelled.remembered_for.min(KEPT_FOR);
         !self.contains(now, &cancelled.job)
             && now < until
@@ -62,8 +62,8 @@
         })
     }
 
-    /// Returns the remembered jobs as other entries are told of them.
-    pub(crate) fn all(&self, now: Instant) -> impl Iterator<Item = CancelledJob> {
+    /// Returns the remembered jobs as other processes are told of them.
+    pub fn all(&self, now: Instant) -> impl Iterator<Item = CancelledJob> {
         self.jobs.keys().filter_map(move |job| self.get(now, job))
     }
 
--- a/crates/decisions/src/placement/mod.rs
+++ b/crates/decisions/src/placement/mod.rs
@@ -20,6 +20,7 @@
 mod turn;
 
 pub use {
+    cancelled_jobs::CancelledJobs,
     dispatcher::Dispatcher,
     messages::{CallerId, DispatchAction, DispatchInput, JobOutcome, RefusalReason, Submission},
 };
--- a/crates/dispatch/src/agent_links.rs
+++ b/crates/dispatch/src/agent_links.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         AgentLoop, DirectoryEvent,
+        entry_links::told_as_cancelled,
         overlay_links::{OverlayEffect, OverlayLinks},
     },
     chestnutrun_decisions::{guard::GuardInput, overlay::OverlayInput},
@@ -77,6 +78,7 @@
                     self.link_by_entry.insert(member.entry.clone(), id);
                     self.recorder.record_dependency("entry-link", true);
                     self.handle_overlay(OverlayInput::PeerNamed(id, member.clone()));
+                    self.tell_cancelled(id);
                     self.handle_input(GuardInput::LinkUp(
                         member.entry,
                         member.incarnation,
@@ -84,7 +86,13 @@
                     ));
                 }
             }
-            Message::Members(list) => self.handle_overlay(OverlayLinks::received(id, list)),
+            Message::Members(mut list) => {
+                let now = Now::read().instant;
+                for cancelled in std::mem::take(&mut list.cancelled) {
+                    self.cancelled.insert_remote(now, &cancelled);
+                }
+                self.handle_overlay(OverlayLinks::received(id, list));
+            }
             Message::RoutingVersion(version) => {
                 let now = Now::read().instant;
                 self.routing_sync
@@ -114,6 +122,15 @@
         }
     }
 
+    /// Tells an entry of the cancelled jobs before it learns of the endpoint here, since it
+    /// may have started after all entries that knew of them were lost.
+    fn tell_cancelled(&self, id: LinkId) {
+        let cancelled: Vec<_> = self.cancelled.all(Now::read().instant).collect();
+        if !cancelled.is_empty() {
+            self.send(id, told_as_cancelled(cancelled));
+        }
+    }
+
     /// Stores a newer routing table, which entries may request, and announces it.
     fn update_routing(&mut self, table: RoutingTable, source: &'static str) {
         let replaced = self.routing.version();
--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -14,6 +14,7 @@
     chestnutrun_decisions::{
         guard::{GuardConf, GuardInput, GuardMachine},
         overlay::{OverlayConf, OverlayInput, ZoneOrder},
+        placement::CancelledJobs,
     },
     chestnutrun_net::{LinkEvent, LinkId, LinkIds},
     chestnutrun_observe::as_u64,
@@ -81,6 +82,8 @@
     pub(crate) orders: Box<dyn EndpointOrders>,
     pub(crate) routing: SharedRouting,
     pub(crate) routing_sync: RoutingSync,
+    /// Jobs that callers cancelled, kept for entries that start anew.
+    pub(crate) cancelled: CancelledJobs,
     pub(crate) events: Sender<AgentEvent>,
     pub(crate) directory_tx: Sender<DirectoryEvent>,
     pub(crate) read_directory_at: Instant,
@@ -128,6 +131,7 @@
             orders: conf.orders,
             routing: SharedRouting::default(),
             routing_sync: RoutingSync::default(),
+            cancelled: CancelledJobs::default(),
             events,
             directory_tx,
             read_directory_at: now.instant,
--- a/crates/dispatch/src/entry_links.rs
+++ b/crates/dispatch/src/entry_links.rs
@@ -72,18 +72,15 @@
             }
             PeerName::Dialed(_) => (Peer::Entry, None),
         };
-        let is_entry = matches!(peer, Peer::Entry);
         self.peers.add(link, peer);
         // A closed link reports `LinkEvent::Down`, which removes it.
         self.peers
             .send(id, Message::Hello(Hello::Entry(self.me.clone())));
         self.peers
             .send(id, Message::RoutingVersion(self.routing.version()));
-        if is_entry {
-            let cancelled = self.dispatcher.cancelled_jobs(Now::read().instant);
-            if !cancelled.is_empty() {
-                self.peers.send(id, told_as_cancelled(cancelled));
-            }
+        let cancelled = self.dispatcher.cancelled_jobs(Now::read().instant);
+        if !cancelled.is_empty() {
+            self.peers.send(id, told_as_cancelled(cancelled));
         }
         self.handle_overlay(opened);
         if let Some(member) = member {
@@ -146,11 +143,12 @@
         }
     }
 
-    /// Tells the linked entries of the jobs that were cancelled since the last call.
+    /// Tells the linked entries and agents of the jobs that were cancelled since the last
+    /// call. Agents remember them for entries that start after all others were lost.
     pub(crate) fn spread_cancelled(&mut self) {
         let jobs = std::mem::take(&mut self.cancelled);
         if !jobs.is_empty() {
-            self.peers.send_to_entries(&told_as_cancelled(jobs));
+            self.peers.send_all(&told_as_cancelled(jobs));
         }
     }
 
@@ -168,8 +166,8 @@
     }
 }
 
-/// Returns the message that tells another entry of cancelled jobs.
-fn told_as_cancelled(cancelled: Vec<CancelledJob>) -> Message {
+/// Returns the message that tells another process of cancelled jobs.
+pub(crate) fn told_as_cancelled(cancelled: Vec<CancelledJob>) -> Message {
     Message::Members(MemberList {
         cancelled,
         ..MemberList::default()
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -81,7 +81,7 @@
     pub(crate) caller_handle: CallerHandle,
     /// Reply channels of the callers that wait for their jobs.
     pub(crate) callers: IndexMap<CallerId, oneshot::Sender<JobOutcome>>,
-    /// Cancelled jobs that the linked entries are not told of yet.
+    /// Cancelled jobs that the linked processes are not told of yet.
     pub(crate) cancelled: Vec<CancelledJob>,
     pub(crate) stop_accepting: Option<oneshot::Sender<()>>,
     pub(crate) grace: Duration,
--- a/crates/dispatch/src/entry_peers.rs
+++ b/crates/dispatch/src/entry_peers.rs
@@ -80,16 +80,6 @@
         }
     }
 
-    /// Sends a message on every link to an entry.
-    pub(crate) fn send_to_entries(&self, message: &Message) {
-        for (link, peer) in self.links.values() {
-            if matches!(peer, Peer::Entry) {
-                // A closed link reports `LinkEvent::Down`, which removes it.
-                let _ = link.send(message.clone());
-            }
-        }
-    }
-
     /// Returns the linked agents.
     pub(crate) fn agents(&self) -> impl ExactSizeIterator<Item = AgentId> {
         self.agents.keys().cloned()
