Hold starts for unknown zones only where sites evacuate zones

Cause: every agent started nothing for up to 10 s after its start while the evacuated zones were not known, also on sites that never evacuate one.

--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -42,7 +42,8 @@
 /// no link to an entry.
 const DIRECTORY_READ_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long an agent starts nothing while it does not know the evacuated zones. Entries
+/// How long an agent of a site that evacuates zones starts nothing while it does not know
+/// the evacuated ones. Entries
 /// tell them as links open; they do not know them only if the directory was away since they
 /// began to run, and if they are earlier builds.
 const MAX_ZONES_UNKNOWN: Duration = Duration::from_secs(10);
@@ -70,6 +71,8 @@
     pub orders: Box<dyn EndpointOrders>,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// Whether the agent starts nothing before it knows the evacuated zones.
+    pub evacuates_zones: bool,
     /// The settings file, reloaded on SIGHUP.
     pub settings: Box<dyn SettingsFile>,
     /// Signals that the process handles.
@@ -135,7 +138,9 @@
             link_by_entry: IndexMap::new(),
             overlay: OverlayLinks::new(overlay, dialers),
             evacuation: EvacuationMachine::new(EvacuationConf {
-                hold_until: Some(now.instant + MAX_ZONES_UNKNOWN),
+                hold_until: conf
+                    .evacuates_zones
+                    .then(|| now.instant + MAX_ZONES_UNKNOWN),
             }),
             directory: conf.directory,
             orders: conf.orders,
