Read a refused body before its response

Cause: a body that was too long was answered at once and its rest read in the background, at most 256 KiB of it. Change: the rest is dropped before the response, up to four times the limit and for a second; nothing of it is held.

--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -20,12 +20,13 @@
 /// Bytes of a body that count as progress. A client that sends less yields to others.
 const PROGRESS_BYTES: usize = 1_024;
 
-/// How much of a body that is too long is read and dropped after its response, so that
-/// the response is not lost by a reset of the connection.
-const LINGER_BYTES: usize = 256 * 1024;
+/// How much of a refused body is read and dropped before its response, as a multiple of
+/// the limit. A client that still sends when the connection closes sees a reset in place
+/// of the response.
+const MAX_DROPPED_FACTOR: usize = 4;
 
-/// How long such a body is read.
-const LINGER_TIME: Duration = Duration::from_secs(1);
+/// How long a refused body is read.
+const DROP_TIME: Duration = Duration::from_secs(1);
 
 /// Limits of one body.
 #[derive(Clone, Copy, Debug)]
@@ -77,7 +78,8 @@
         service.release_body(0);
         record(fault, service);
         if matches!(fault, BodyFault::TooLong | BodyFault::NoBytes) {
-            linger(payload);
+            let max_bytes = limits.max_bytes.saturating_mul(MAX_DROPPED_FACTOR);
+            drop_bytes(&mut payload, max_bytes, Instant::now() + DROP_TIME).await;
         }
     }
     read
@@ -187,12 +189,6 @@
     buf.extend_from_slice(chunk);
 }
 
-/// Reads and drops the rest of a body in the background, while its response leaves.
-fn linger(mut payload: HttpPayload) {
-    let deadline = Instant::now() + LINGER_TIME;
-    ntex::rt::spawn(async move { drop_bytes(&mut payload, LINGER_BYTES, deadline).await });
-}
-
 async fn drop_bytes(payload: &mut HttpPayload, max_bytes: usize, deadline: Instant) {
     let mut dropped = 0;
     while dropped <= max_bytes {
