Place tasks by the time at which they would end at an endpoint

Cause: endpoints of one service differ in speed, but the last start, the expected run time and the limit without progress did not depend on the endpoint; slowness was a clamped mean that only made an endpoint dearer, and a route whose tasks ran at slow endpoints was taken for a slow one. Stragglers raised both.

Change: agents learn their endpoint's speed as a median over recent jobs, also by route, and report it in updates; entries compare the endpoints of a service, start nothing where it almost certainly cannot end in time, prefer endpoints where a task ends within the target, and divide run times by the endpoint's slowness before they count for a route. Progress limits scale with the endpoint's speed.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -7,6 +7,7 @@
             endpoint_state::{EndpointState, ProcessState},
             run::{Phase, Run, RunKey},
         },
+        speeds::is_speed_news,
         timing::NUMBER_STEP,
     },
     chestnutrun_types::{
@@ -265,6 +266,26 @@
         });
     }
 
+    /// Logs the endpoint's speed if it differs from the one that was last logged.
+    pub(super) fn record_speed(&mut self) {
+        let Some(endpoint) = &mut self.endpoint else {
+            return;
+        };
+        let speed = endpoint.speeds.speed();
+        if is_speed_news(endpoint.logged_speed.as_ref(), speed) {
+            let event = DecisionEvent::EndpointSpeedLearned {
+                endpoint: endpoint.info.endpoint.clone(),
+                incarnation: endpoint.info.incarnation,
+                jobs: speed.jobs,
+                slowness: speed.slowness,
+                error: speed.error,
+                routes: speed.routes.clone(),
+            };
+            endpoint.logged_speed = Some(speed.clone());
+            self.record_decision(event);
+        }
+    }
+
     pub(super) fn record_endpoint_failure(&mut self) {
         if let Some(endpoint) = &mut self.endpoint {
             endpoint.health.record_failure();
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         guard::{Announcement, EndNumber, EndpointClock, EndpointHealth},
+        speeds::SpeedLearner,
         timing::{ENDPOINT_SILENCE_LIMIT, FAILING_PAUSE, IMMEDIATE_LIST_AFTER},
     },
-    chestnutrun_types::{EndpointInfo, TaskId},
+    chestnutrun_types::{EndpointInfo, EndpointSpeed, TaskId},
     std::time::Instant,
 };
 
@@ -46,6 +47,9 @@
     /// Sequence number of the newest announcement.
     pub(crate) sequence: u64,
     pub(crate) health: EndpointHealth,
+    pub(crate) speeds: SpeedLearner,
+    /// Speed that was last logged.
+    pub(crate) logged_speed: Option<EndpointSpeed>,
     pub(crate) is_leaving: bool,
     pub(crate) process: ProcessState,
     /// Announcement of another endpoint, taken once this one no longer answers.
@@ -79,6 +83,8 @@
             clock: EndpointClock::new(now, announcement.clock),
             sequence: announcement.sequence,
             health: EndpointHealth::default(),
+            speeds: SpeedLearner::default(),
+            logged_speed: None,
             is_leaving: announcement.leaving,
             process: ProcessState::Present,
             successor: None,
--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -45,6 +45,7 @@
         state.is_withdrawn = false;
         state.is_stale = true;
         state.last_report = None;
+        state.known_speed = None;
         state.known_crash = self.crashes.newest();
         let resync = Resync {
             info,
@@ -108,6 +109,7 @@
                     at: assigned.at,
                 },
                 task,
+                route: assignment.route.clone(),
                 assigned,
                 is_alone: assignment.alone,
                 priority: assignment.priority,
@@ -217,6 +219,7 @@
         let room_of = self.room_by_position(now);
         let zone = self.zone();
         let newest_crash = self.crashes.newest();
+        let speed = self.endpoint.as_ref().map(|e| e.speeds.speed().clone());
         for (position, (entry, state)) in self.entries.iter_mut().enumerate() {
             let room = state.offer(room_of(position));
             let is_due = state
@@ -227,12 +230,14 @@
                 continue;
             }
             state.is_stale = false;
+            let speed = state.take_speed_news(speed.as_ref());
             state.last_report = Some((now, room));
             let update = AgentUpdate {
                 free: room.free,
                 reserve: room.reserve,
                 most_tasks: room.most_tasks,
                 slowness: room.slowness,
+                speed,
                 last_assignment: state.last_assignment,
                 ends: std::mem::take(&mut state.unsent_ends),
                 crashes: self.crashes.after(now, state.known_crash),
@@ -275,7 +280,7 @@
             },
             reserve: self.contention.reserve(now),
             most_tasks,
-            slowness: endpoint.health.slowness(),
+            slowness: endpoint.speeds.slowness(None),
             total: endpoint.info.total,
         }
     }
--- a/crates/decisions/src/guard/entry_state.rs
+++ b/crates/decisions/src/guard/entry_state.rs
@@ -3,9 +3,12 @@
 use {
     crate::{
         crashes::CrashNumber,
+        speeds::is_speed_news,
         timing::{AMPLE_REPORT_INTERVAL, OTHER_ZONE_REPORT_INTERVAL, REPORT_INTERVAL},
     },
-    chestnutrun_types::{AssignmentId, Incarnation, Reserve, Resources, TaskEnd, ZoneId},
+    chestnutrun_types::{
+        AssignmentId, EndpointSpeed, Incarnation, Reserve, Resources, TaskEnd, ZoneId,
+    },
     std::{
         collections::VecDeque,
         time::{Duration, Instant},
@@ -61,6 +64,8 @@
     pub(crate) last_report: Option<(Instant, ReportedRoom)>,
     /// Ended tasks that no update has reported yet.
     pub(crate) unsent_ends: Vec<TaskEnd>,
+    /// Speed of the endpoint that was last reported to the entry on the present link.
+    pub(crate) known_speed: Option<EndpointSpeed>,
     /// Number of the newest crash that was reported to the entry.
     pub(crate) known_crash: CrashNumber,
     /// Recently ended tasks, kept for at least `ENDS_KEPT`, and when they ended.
@@ -79,6 +84,7 @@
             is_stale: true,
             last_report: None,
             unsent_ends: Vec::new(),
+            known_speed: None,
             known_crash: 0,
             recent_ends: VecDeque::new(),
         }
@@ -135,6 +141,17 @@
         is_significant.then(|| reported_at + interval)
     }
 
+    /// Returns the speed of the endpoint if the entry must be told of it now, and takes it as
+    /// reported.
+    pub(crate) fn take_speed_news(
+        &mut self,
+        speed: Option<&EndpointSpeed>,
+    ) -> Option<EndpointSpeed> {
+        let news = speed.filter(|speed| is_speed_news(self.known_speed.as_ref(), speed))?;
+        self.known_speed = Some(news.clone());
+        Some(news.clone())
+    }
+
     /// Queues the end of one of the entry's tasks for the next update.
     pub(crate) fn record_end(&mut self, now: Instant, end: TaskEnd) {
         while self
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -166,6 +166,10 @@
             // The entry that may try a failing endpoint changes with time.
             self.mark_stale();
         }
+        if let Some(endpoint) = &mut self.endpoint {
+            endpoint.speeds.forget_old(now);
+        }
+        self.record_speed();
         self.resend_refused_stops(now);
         self.end_lapsed_runs(now);
         self.forget_entries(now);
--- a/crates/decisions/src/guard/health.rs
+++ b/crates/decisions/src/guard/health.rs
@@ -1,4 +1,4 @@
-//! Failure share and slowness of an endpoint, estimated from its recent runs.
+//! Failure share of an endpoint, estimated from its recent runs.
 
 /// Weight of the newest outcome in the failure share: about the last five
 /// outcomes count, so that two failures in a row make an endpoint suspect.
@@ -13,35 +13,16 @@
 /// hardly ever cause so many.
 const FAILING_SHARE: f32 = 0.6;
 
-/// Weight of the newest run time in the moving average of the slowness.
-const SLOWNESS_WEIGHT: f32 = 0.1;
-
-/// Upper bound for the run time ratio of one task: the slowest tasks of a kind
-/// take that much longer on any endpoint.
-const MAX_RATIO: f32 = 4.0;
-
-/// Moving averages over the recent runs of an endpoint.
-#[derive(Clone, Copy, Debug)]
+/// Moving average over the recent runs of an endpoint.
+#[derive(Clone, Copy, Debug, Default)]
 pub struct EndpointHealth {
     failure_share: f32,
-    slowness: f32,
-}
-
-impl Default for EndpointHealth {
-    fn default() -> Self {
-        Self {
-            failure_share: 0.0,
-            slowness: 1.0,
-        }
-    }
 }
 
 impl EndpointHealth {
-    /// Records a run that completed in `ratio` times the expected time.
-    pub fn record_completion(&mut self, ratio: f32) {
+    /// Records a run that completed.
+    pub fn record_completion(&mut self) {
         self.failure_share *= 1.0 - OUTCOME_WEIGHT;
-        let ratio = ratio.min(MAX_RATIO);
-        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness);
     }
 
     /// Records a run that failed, stalled or did not start.
@@ -60,10 +41,4 @@
     pub fn is_failing(&self) -> bool {
         self.failure_share > FAILING_SHARE
     }
-
-    /// Returns the average ratio of observed to expected run time.
-    #[must_use]
-    pub fn slowness(&self) -> f32 {
-        self.slowness
-    }
 }
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -124,7 +124,12 @@
         let expected = run.assigned.expected.as_secs_f32().max(f32::MIN_POSITIVE);
         let ratio = run.run_time(now).as_secs_f32() / expected;
         match kind {
-            EndKind::Done => endpoint.health.record_completion(ratio),
+            EndKind::Done => {
+                endpoint.health.record_completion();
+                let (job, route) = (&run.task.job, run.route.as_ref());
+                endpoint.speeds.record(now, job, route, ratio);
+                self.record_speed();
+            }
             EndKind::Failed | EndKind::Stalled => endpoint.record_failed_run(now),
             EndKind::NotStarted | EndKind::Stopped => {}
         }
--- a/crates/decisions/src/guard/run.rs
+++ b/crates/decisions/src/guard/run.rs
@@ -3,8 +3,8 @@
 use {
     crate::timing::{STALL_DIVISOR, STALL_LIMIT},
     chestnutrun_types::{
-        AssignedTask, AssignmentId, EndKind, EntryId, Incarnation, RunNumber, TaskEnd, TaskId,
-        TaskPosition,
+        AssignedTask, AssignmentId, EndKind, EntryId, Incarnation, RouteId, RunNumber, TaskEnd,
+        TaskId, TaskPosition,
     },
     std::{
         sync::Arc,
@@ -44,6 +44,8 @@
 pub(crate) struct Run {
     pub(crate) key: RunKey,
     pub(crate) task: TaskId,
+    /// Route of the job; none if its entry does not tell.
+    pub(crate) route: Option<RouteId>,
     pub(crate) assigned: AssignedTask,
     /// Whether the run may share the endpoint only with runs of its job.
     pub(crate) is_alone: bool,
@@ -88,11 +90,13 @@
             .filter(|_| self.phase == Phase::Stopping)
     }
 
-    /// Returns when the run counts as stalled unless it shows progress; none before it
-    /// shows any.
-    pub(crate) fn stalls_at(&self) -> Option<Instant> {
-        let limit = STALL_LIMIT.max(self.assigned.expected / STALL_DIVISOR);
-        self.progressed_at.map(|at| at + limit)
+    /// Returns when the run counts as stalled unless it shows progress, at an endpoint of
+    /// this slowness; none before it shows any.
+    pub(crate) fn stalls_at(&self, slowness: f32) -> Option<Instant> {
+        let expected = self.assigned.expected.as_secs_f32() * slowness.max(1.0);
+        let expected = Duration::try_from_secs_f32(expected).unwrap_or(Duration::MAX);
+        let limit = STALL_LIMIT.max(expected / STALL_DIVISOR);
+        self.progressed_at.and_then(|at| at.checked_add(limit))
     }
 
     /// Returns the time since the start was sent; zero without a start.
--- a/crates/decisions/src/guard/stops.rs
+++ b/crates/decisions/src/guard/stops.rs
@@ -4,7 +4,7 @@
     crate::{
         guard::{
             Answer, GuardAction, GuardMachine, OrderFault, StopOrder,
-            run::{Phase, RunKey},
+            run::{Phase, Run, RunKey},
         },
         timing::{BROKEN_CONNECTION_PAUSE, NUMBER_STEP, ORDER_TIMEOUT, REFUSED_PAUSE},
     },
@@ -123,8 +123,11 @@
     }
 
     pub(super) fn stop_stalled(&mut self, now: Instant) {
+        let speeds = self.endpoint.as_ref().map(|endpoint| &endpoint.speeds);
+        let slowness = |run: &Run| speeds.map_or(1.0, |known| known.slowness(run.route.as_ref()));
         let stalled = self.runs.keys_where(|run| {
-            run.phase == Phase::Running && run.stalls_at().is_some_and(|at| at < now)
+            let stalls_at = run.stalls_at(slowness(run));
+            run.phase == Phase::Running && stalls_at.is_some_and(|at| at < now)
         });
         for key in stalled {
             self.stop_run(now, &key, EndKind::Stalled, "no-progress");
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod owner;
 pub mod placement;
 pub mod policy;
+pub mod speeds;
 pub mod timing;
--- a/crates/decisions/src/placement/agent_inputs.rs
+++ b/crates/decisions/src/placement/agent_inputs.rs
@@ -27,9 +27,13 @@
         incarnation: Incarnation,
         resync: Resync,
     ) {
+        let mut view = EndpointView::new(incarnation, resync.info);
         let known = self.views.get(agent);
+        if let Some(known) = known {
+            view.keep_speed(known);
+        }
         let is_same = known.is_some_and(|view| view.incarnation == incarnation);
-        let has_endpoint = resync.info.is_some();
+        let has_endpoint = view.info.is_some();
         self.count_crashes(now, resync.crashes);
         if !is_same {
             self.agent_down(now, agent);
@@ -37,10 +41,9 @@
         self.record(DecisionEvent::AgentLinked {
             agent: agent.clone(),
             incarnation,
-            endpoint: resync.info.as_ref().map(|info| info.endpoint.clone()),
+            endpoint: view.info.as_ref().map(|info| info.endpoint.clone()),
             live: resync.live.len(),
         });
-        let view = EndpointView::new(incarnation, resync.info);
         self.views.insert(agent.clone(), view);
         self.changes.agents.insert(agent.clone());
         if is_same {
@@ -149,7 +152,7 @@
             service: known.map(|info| info.service.clone()),
             cpu_millis: known.map_or(0, |info| info.total.cpu_millis),
         };
-        view.info = info;
+        view.set_info(info);
         self.changes.agents.insert(agent.clone());
         self.record(event);
         if is_new {
@@ -223,7 +226,13 @@
         let is_failed = task.failures >= allowed;
         if is_done_now {
             let estimate = job.step(end.at.step).estimate;
-            self.run_times.record(&route, estimate, end.ran);
+            let speeds = self.speeds.get(&job.route.service);
+            let slowness = view.zip(speeds).map(|(view, speeds)| {
+                // Runs at slow endpoints do not make a route slow.
+                speeds.slowness(view.speed(), Some(&route))
+            });
+            let ran = end.ran.div_f32(slowness.unwrap_or(1.0));
+            self.run_times.record(&route, estimate, ran);
         }
         job.has_run |= end.kind != EndKind::NotStarted;
         let is_done = job.is_done();
--- a/crates/decisions/src/placement/caller_inputs.rs
+++ b/crates/decisions/src/placement/caller_inputs.rs
@@ -25,7 +25,8 @@
         let route = submission.route.clone();
         let run_times = self.run_times.get(&route.id);
         let job = &submission.job;
-        let objective = Objective::new(now, &route, job, run_times);
+        let mut objective = Objective::new(now, &route, job, run_times);
+        objective.set_fastest(self.fastest(&route.service));
         let id = job.id.clone();
         let caller = submission.caller;
         let held = HeldJob::new(now, submission, objective);
--- a/crates/decisions/src/placement/candidates.rs
+++ b/crates/decisions/src/placement/candidates.rs
@@ -1,21 +1,27 @@
 //! Chooses endpoints for the tasks of jobs.
 
 use {
-    crate::placement::{
-        endpoint_view::EndpointView,
-        held_job::{HeldJob, TaskCounts},
-        held_task::HeldTask,
+    crate::{
+        placement::{
+            endpoint_view::EndpointView,
+            held_job::{HeldJob, TaskCounts},
+            held_task::HeldTask,
+        },
+        speeds::ServiceSpeeds,
     },
     chestnutrun_types::{
-        AgentId, EndpointInfo, JobId, Label, Reserve, Resources, StepSpec, TaskPosition, ZoneId,
+        AgentId, EndpointInfo, EndpointSpeed, JobId, Label, Reserve, Resources, ServiceId,
+        StepSpec, TaskPosition, ZoneId,
     },
     indexmap::{IndexMap, IndexSet},
+    std::time::Instant,
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
-/// Weight of slowness against free room in the cost: an endpoint whose tasks take
-/// twice the expected run time is chosen after every other endpoint that is not
-/// full.
+/// Weight of slowness against free room in the cost while all endpoints are free: one whose
+/// tasks take twice the mean run time is chosen after every other that is not full. The
+/// less room the faster endpoints have, the less it counts, so that they keep room for the
+/// tasks that need them.
 const SLOWNESS_WEIGHT: f32 = 1.0;
 
 /// Cost of an endpoint in another availability zone: orders and answers take longer, and
@@ -39,6 +45,8 @@
     free_before: Option<Resources>,
     reserve: Reserve,
     most_tasks: u16,
+    speed: &'a EndpointSpeed,
+    /// Factor on the run time of the present job's tasks.
     slowness: f32,
     is_other_zone: bool,
     /// Whether the agent reported since the last placement.
@@ -55,6 +63,7 @@
 #[derive(Debug)]
 pub(crate) struct Candidates<'a> {
     candidates: Vec<Candidate<'a>>,
+    speeds: &'a IndexMap<ServiceId, ServiceSpeeds>,
 }
 
 /// Tasks of one job by the agent that they are placed at.
@@ -66,6 +75,7 @@
     pub(crate) fn new(
         views: &'a IndexMap<AgentId, EndpointView>,
         zone: &ZoneId,
+        speeds: &'a IndexMap<ServiceId, ServiceSpeeds>,
         changed: &'a IndexSet<AgentId>,
         only_changed: bool,
     ) -> Self {
@@ -80,7 +90,8 @@
                 free_before: None,
                 reserve: view.reserve(),
                 most_tasks,
-                slowness: view.slowness(),
+                speed: view.speed(),
+                slowness: 1.0,
                 is_other_zone: info.zone != *zone,
                 has_changed,
                 cost: 0.0,
@@ -97,7 +108,7 @@
             let to_candidate = |view| to_candidate(view, changed.contains(view.0));
             views.filter_map(to_candidate).collect()
         };
-        Self { candidates }
+        Self { candidates, speeds }
     }
 
     /// Returns whether no endpoint has room.
@@ -109,7 +120,13 @@
     /// left out. A job that found no room before is tried only at endpoints that
     /// have changed. Tasks that run beside no other job (`is_alone`) get whole
     /// endpoints, the emptiest first.
-    pub(crate) fn choose(&mut self, job: &HeldJob, only_changed: bool, is_alone: bool) -> Choice {
+    pub(crate) fn choose(
+        &mut self,
+        now: Instant,
+        job: &HeldJob,
+        only_changed: bool,
+        is_alone: bool,
+    ) -> Choice {
         let mut chosen = Choice::new();
         let rack = job.job.steps.iter().find_map(|step| step.rack.as_ref());
         let mut fitting: Vec<&mut Candidate> = self
@@ -126,8 +143,11 @@
         if fitting.is_empty() {
             return chosen;
         }
+        let speeds = self.speeds.get(&job.route.service).copied();
+        let speeds = speeds.unwrap_or_default();
         for candidate in &mut fitting {
-            candidate.cost = candidate.cost(rack, &job.job.id);
+            candidate.slowness = speeds.slowness(candidate.speed, Some(&job.route.id));
+            candidate.cost = candidate.cost(rack, &job.job.id, speeds.free());
             candidate.half = candidate.usable(job).half();
             if is_alone {
                 candidate.free_before = Some(candidate.free);
@@ -137,16 +157,24 @@
         }
         fitting.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let mut held = job.limited_tasks();
+        let limits = job.end_limits();
         for task in job.ready_tasks() {
             let step = job.step(task.at.step);
+            // Endpoints where the task is expected to end within the target come first.
             // Half of an endpoint's room is left to other entries, which do not
             // know of this choice yet, unless the job finds no room elsewhere.
-            let find = |room: &dyn Fn(&Candidate) -> Resources| {
+            let find = |in_target: bool, room: &dyn Fn(&Candidate) -> Resources| {
                 fitting.iter().position(|candidate| {
-                    room(candidate).fits(step.need) && candidate.can_take(task, step, &held)
+                    room(candidate).fits(step.need)
+                        && candidate.can_take(task, step, &held)
+                        && limits.may_start(now, task.at.step, candidate.slowness)
+                        && in_target == limits.meets_target(now, task.at.step, candidate.slowness)
                 })
             };
-            let place = find(&|candidate| candidate.half).or_else(|| find(&|c| c.usable(job)));
+            let place = [true, false].into_iter().find_map(|in_target| {
+                find(in_target, &|candidate| candidate.half)
+                    .or_else(|| find(in_target, &|candidate| candidate.usable(job)))
+            });
             if let Some(candidate) = place.map(|at| &mut fitting[at]) {
                 candidate.free = candidate.free.minus(step.need);
                 candidate.half = candidate.half.minus(step.need);
@@ -177,9 +205,10 @@
 }
 
 impl Candidate<'_> {
-    fn cost(&self, rack: Option<&Label>, job: &JobId) -> f32 {
+    fn cost(&self, rack: Option<&Label>, job: &JobId, free_of_service: f32) -> f32 {
         let free = fraction(self.free.cpu_millis, self.info.total.cpu_millis);
-        let mut cost = (self.slowness - 1.0).max(0.0) * SLOWNESS_WEIGHT - free;
+        let slowness = (self.slowness - 1.0).max(0.0);
+        let mut cost = slowness * SLOWNESS_WEIGHT * free_of_service - free;
         cost += self.spread(job) * JOB_SPREAD;
         if self.is_other_zone {
             cost += OTHER_ZONE_COST;
--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -16,6 +16,7 @@
             run_times::RunTimesByRoute,
             turn::{Turn, TurnKey},
         },
+        speeds::ServiceSpeeds,
     },
     chestnutrun_types::{
         AgentId, AssignmentId, CancelledJob, DecisionEvent, Now, Revocation, ServiceId, ZoneId,
@@ -41,6 +42,8 @@
     pub(super) next_assignment: AssignmentId,
     pub(super) known_endpoints: KnownEndpoints,
     pub(super) run_times: RunTimesByRoute,
+    /// Speeds of the endpoints at the last tick.
+    pub(super) speeds: IndexMap<ServiceId, ServiceSpeeds>,
     /// Waiting work at the last tick.
     pub(super) backlogs: IndexMap<ServiceId, Backlog>,
     pub(super) crashes: CrashCounts,
@@ -63,6 +66,7 @@
             next_assignment: 1,
             known_endpoints: KnownEndpoints::default(),
             run_times: RunTimesByRoute::default(),
+            speeds: IndexMap::new(),
             backlogs: IndexMap::new(),
             crashes: CrashCounts::default(),
             actions: Vec::new(),
@@ -136,6 +140,7 @@
 
     pub(super) fn tick(&mut self, now: Instant) {
         self.known_endpoints.update(now, self.has_endpoints());
+        self.compare_speeds();
         self.expire(now);
         for (caller, job) in &mut self.jobs {
             for task in &mut job.tasks {
--- a/crates/decisions/src/placement/endpoint_view.rs
+++ b/crates/decisions/src/placement/endpoint_view.rs
@@ -1,7 +1,11 @@
 //! An entry's view of one agent and its endpoint.
 
 use {
-    chestnutrun_types::{AgentUpdate, AssignmentId, EndpointInfo, Incarnation, Reserve, Resources},
+    crate::speeds::SpeedSample,
+    chestnutrun_types::{
+        AgentUpdate, AssignmentId, EndpointId, EndpointInfo, EndpointSpeed, Incarnation, Reserve,
+        Resources,
+    },
     std::{
         collections::VecDeque,
         time::{Duration, Instant},
@@ -25,6 +29,8 @@
     pub(crate) info: Option<EndpointInfo>,
     reported: AgentUpdate,
     reported_at: Option<Instant>,
+    /// Speed of the endpoint in `info`, as an agent of it last reported it.
+    speed: EndpointSpeed,
     /// Claims of assignments that the agent's last update does not include.
     claims: VecDeque<Claim>,
 }
@@ -37,6 +43,7 @@
             info,
             reported: AgentUpdate::default(),
             reported_at: None,
+            speed: EndpointSpeed::default(),
             claims: VecDeque::new(),
         }
     }
@@ -52,13 +59,56 @@
         {
             self.claims.pop_front();
         }
+        // A restarted agent has yet to learn what its predecessor reported.
+        if let Some(speed) = &update.speed
+            && speed.jobs > 0
+        {
+            self.speed.clone_from(speed);
+        }
         self.reported = AgentUpdate {
             ends: Vec::new(),
             crashes: Vec::new(),
+            speed: None,
             ..*update
         };
     }
 
+    /// Takes over the speed that a view of the same endpoint has from an earlier agent.
+    pub(crate) fn keep_speed(&mut self, earlier: &Self) {
+        if self.process() == earlier.process() {
+            self.speed.clone_from(&earlier.speed);
+        }
+    }
+
+    /// Changes the endpoint. The speed of another one, or of an earlier process, says
+    /// nothing of it.
+    pub(crate) fn set_info(&mut self, info: Option<EndpointInfo>) {
+        let before = self.process();
+        let is_other = info.as_ref().map(process_of) != before;
+        if is_other {
+            self.speed = EndpointSpeed::default();
+        }
+        self.info = info;
+    }
+
+    fn process(&self) -> Option<(&EndpointId, Incarnation)> {
+        self.info.as_ref().map(process_of)
+    }
+
+    /// Returns how long tasks take at the endpoint.
+    pub(crate) fn speed(&self) -> &EndpointSpeed {
+        &self.speed
+    }
+
+    /// Returns the speed and room of the endpoint if the agent is linked and has one.
+    pub(crate) fn speed_sample(&self) -> Option<SpeedSample<'_>> {
+        self.usable().map(|info| SpeedSample {
+            speed: &self.speed,
+            total_cpu_millis: info.total.cpu_millis,
+            free_cpu_millis: self.free().cpu_millis,
+        })
+    }
+
     /// Reserves room for an assignment that is sent to the agent.
     pub(crate) fn claim(&mut self, assignment: AssignmentId, room: Resources, tasks: u16) {
         self.claims.push_back(Claim {
@@ -98,13 +148,12 @@
         now.saturating_duration_since(reported_at)
     }
 
-    /// Returns the ratio of the observed run time to the expected one.
-    pub(crate) fn slowness(&self) -> f32 {
-        self.reported.slowness.max(f32::MIN_POSITIVE)
-    }
-
     /// Returns the endpoint if the agent is linked and has one.
     pub(crate) fn usable(&self) -> Option<&EndpointInfo> {
         self.info.as_ref().filter(|_| self.unlinked_at.is_none())
     }
 }
+
+fn process_of(info: &EndpointInfo) -> (&EndpointId, Incarnation) {
+    (&info.endpoint, info.incarnation)
+}
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -5,7 +5,7 @@
         placement::{
             CallerId, JobOutcome, Submission,
             held_task::{HeldTask, TaskState},
-            objective::Objective,
+            objective::{EndLimits, Objective},
         },
         timing::millis,
     },
@@ -139,6 +139,15 @@
         deadline.checked_sub(rest).unwrap_or(deadline)
     }
 
+    /// Returns until when tasks that start now should end.
+    pub(crate) fn end_limits(&self) -> EndLimits<'_> {
+        EndLimits {
+            objective: &self.objective,
+            deadline: self.deadline(),
+            may_have_run: self.may_have_run(),
+        }
+    }
+
     /// Returns whether a waiting task almost certainly ends after the last caller's
     /// deadline even if it starts now.
     pub(crate) fn is_hopeless(&self, now: Instant) -> bool {
--- a/crates/decisions/src/placement/mod.rs
+++ b/crates/decisions/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod objective;
 mod placing;
 mod run_times;
+mod speeds_by_service;
 mod turn;
 
 pub use {
--- a/crates/decisions/src/placement/placing.rs
+++ b/crates/decisions/src/placement/placing.rs
@@ -49,7 +49,7 @@
         }
         waiting.sort_unstable();
         let waiting: Vec<CallerId> = waiting.into_iter().map(|key| key.4).collect();
-        for (caller, choice) in self.choose(&waiting, &changes) {
+        for (caller, choice) in self.choose(now, &waiting, &changes) {
             let priority = self.jobs.get(&caller).map_or(0, HeldJob::priority);
             for (agent, tasks) in choice {
                 self.assign(now, caller, &agent, &tasks, priority);
@@ -58,11 +58,17 @@
     }
 
     /// Returns the endpoints for the tasks of the waiting jobs.
-    fn choose(&self, waiting: &[CallerId], changes: &Changes) -> Vec<(CallerId, Choice)> {
+    fn choose(
+        &self,
+        now: Instant,
+        waiting: &[CallerId],
+        changes: &Changes,
+    ) -> Vec<(CallerId, Choice)> {
         let has_changed = |caller: &CallerId| changes.jobs.contains(caller);
         let only_changed = !waiting.iter().any(has_changed);
         let agents = &changes.agents;
-        let mut candidates = Candidates::new(&self.views, &self.zone, agents, only_changed);
+        let (views, speeds) = (&self.views, &self.speeds);
+        let mut candidates = Candidates::new(views, &self.zone, speeds, agents, only_changed);
         let mut choices = Vec::new();
         for caller in waiting {
             if candidates.is_full() {
@@ -70,7 +76,7 @@
             }
             if let Some(job) = self.jobs.get(caller) {
                 let is_alone = self.crashes.most_under(&job.job.id) > 0;
-                let choice = candidates.choose(job, !has_changed(caller), is_alone);
+                let choice = candidates.choose(now, job, !has_changed(caller), is_alone);
                 choices.push((*caller, choice));
             }
         }
@@ -118,6 +124,7 @@
         let assignment = Assignment {
             id,
             job: job.job.id.clone(),
+            route: Some(job.route.id.clone()),
             payload: job.job.payload.clone(),
             after_run: job.highest_run,
             start_within: slack.clamp(MIN_WAIT_AT_AGENT, longest_wait),
--- a/crates/decisions/tests/guard_site/agent.rs
+++ b/crates/decisions/tests/guard_site/agent.rs
@@ -51,6 +51,7 @@
         priority: 0,
         id,
         job: job.into(),
+        route: None,
         payload: "payload".into(),
         after_run: 0,
         start_within: Duration::from_millis(100),
--- a/crates/decisions/tests/overload_site/endpoint.rs
+++ b/crates/decisions/tests/overload_site/endpoint.rs
@@ -13,6 +13,33 @@
 /// Processor of an endpoint, in thousandths of a core.
 pub const ENDPOINT_CPU: u32 = 16_000;
 
+/// Room and speed of an endpoint, and the number of its process.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointSpec {
+    /// Processor in thousandths of a core.
+    pub cpu: u32,
+    /// Work that is done in a unit of time.
+    pub speed: f64,
+    pub incarnation: u64,
+}
+
+impl Default for EndpointSpec {
+    fn default() -> Self {
+        Self {
+            cpu: ENDPOINT_CPU,
+            speed: 1.0,
+            incarnation: 1,
+        }
+    }
+}
+
+impl EndpointSpec {
+    /// Returns the work per unit of time that the endpoint does when it is full, in cores.
+    pub fn cores(self) -> f64 {
+        f64::from(self.cpu) / 1_000.0 * self.speed
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     task: TaskId,
@@ -24,6 +51,7 @@
 /// An endpoint that runs what it has room for.
 #[derive(Debug, Default)]
 pub struct Endpoint {
+    pub spec: EndpointSpec,
     runs: IndexMap<u64, Running>,
     ends: Vec<ListedEnd>,
     /// A list order that waits for an end, and when its wait is over.
@@ -31,16 +59,23 @@
 }
 
 impl Endpoint {
-    pub fn announcement(number: usize, zone: usize, at: Micros) -> Announcement {
+    pub fn new(spec: EndpointSpec) -> Self {
+        Self {
+            spec,
+            ..Self::default()
+        }
+    }
+
+    pub fn announcement(&self, number: usize, zone: usize, at: Micros) -> Announcement {
         Announcement {
             info: EndpointInfo {
                 endpoint: format!("endpoint-{number}").into(),
-                incarnation: 1,
+                incarnation: self.spec.incarnation,
                 service: "service".into(),
                 zone: format!("zone-{zone}").into(),
                 labels: Vec::new(),
                 total: Resources {
-                    cpu_millis: ENDPOINT_CPU,
+                    cpu_millis: self.spec.cpu,
                     memory_mb: 32_768,
                     accelerators: 0,
                 },
@@ -61,7 +96,7 @@
         work: Micros,
     ) -> bool {
         let held: u32 = self.runs.values().map(|run| run.need.cpu_millis).sum();
-        if held + need.cpu_millis > ENDPOINT_CPU {
+        if held + need.cpu_millis > self.spec.cpu {
             return false;
         }
         let running = Running {
--- a/crates/decisions/tests/overload_site/load.rs
+++ b/crates/decisions/tests/overload_site/load.rs
@@ -138,14 +138,28 @@
         }
     }
 
+    /// Makes a share of the tasks take so many times as long as the others.
+    pub fn add_stragglers(&mut self, rng: &mut StdRng, share: f64, factor: f64) {
+        let before = self.longest();
+        for work in &mut self.work {
+            if rng.random_range(0.0..1.0) < share {
+                *work = micros(as_f64(*work) * factor);
+            }
+        }
+        self.deadline += self.longest() - before;
+    }
+
+    fn longest(&self) -> Micros {
+        self.work.iter().max().copied().unwrap_or_default()
+    }
+
     /// Returns the time within which the queue promises an answer.
     fn target(&self) -> Micros {
-        let longest = self.work.iter().max().copied().unwrap_or_default();
-        micros(as_f64(longest) * STRETCH) + TARGET_LATENCY
+        micros(as_f64(self.longest()) * STRETCH) + TARGET_LATENCY
     }
 
     /// Returns the processor time of all tasks.
-    fn processor_time(&self) -> f64 {
+    pub fn processor_time(&self) -> f64 {
         let cpu = f64::from(self.job.steps[0].need.cpu_millis) / 1_000.0;
         cpu * as_f64(self.work.iter().sum())
     }
--- a/crates/decisions/tests/overload_site/mod.rs
+++ b/crates/decisions/tests/overload_site/mod.rs
@@ -1,9 +1,9 @@
 //! A site under a chosen load: entries, agents and endpoints without faults, on a
 //! handed-in clock.
 
-mod endpoint;
-mod load;
-mod site;
+pub mod endpoint;
+pub mod load;
+pub mod site;
 
 pub use {
     load::{KINDS, Load, Served},
--- a/crates/decisions/tests/overload_site/site.rs
+++ b/crates/decisions/tests/overload_site/site.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         Load, MS, Micros, SECOND, Served,
-        endpoint::{ENDPOINT_CPU, Endpoint},
-        load::{Arrival, KINDS, PlayedJob, as_f64, mean_pause, pause, route},
+        endpoint::{Endpoint, EndpointSpec},
+        load::{Arrival, KINDS, PlayedJob, as_f64, mean_pause, micros, pause, route},
     },
     chestnutrun_decisions::{
         guard::{
@@ -46,26 +46,43 @@
 #[derive(Debug)]
 pub struct Site {
     rng: StdRng,
-    at: Micros,
+    pub at: Micros,
     begin: Instant,
-    zones: usize,
+    pub zones: usize,
     queue: BTreeMap<(Micros, u64), Event>,
     events: u64,
-    entries: Vec<Dispatcher>,
-    agents: Vec<GuardMachine>,
-    endpoints: Vec<Endpoint>,
+    pub entries: Vec<Dispatcher>,
+    pub agents: Vec<GuardMachine>,
+    pub endpoints: Vec<Endpoint>,
     wakeups: Vec<Micros>,
     load: Load,
+    /// Share of the tasks that take longer than the others, and the factor.
+    pub stragglers: (f64, f64),
     last_caller: CallerId,
-    callers: IndexMap<CallerId, PlayedJob>,
+    pub callers: IndexMap<CallerId, PlayedJob>,
     jobs: IndexMap<JobId, CallerId>,
-    answered: Vec<(PlayedJob, Micros, JobOutcome)>,
-    submits_until: Micros,
+    pub answered: Vec<(PlayedJob, Micros, JobOutcome)>,
+    pub submits_until: Micros,
+    /// Starts, with the endpoint, the estimate and the deadline.
+    pub starts: Vec<(Micros, usize, Micros, Micros)>,
 }
 
 impl Site {
     /// Creates a site whose entries are all linked to all agents.
     pub fn new(seed: u64, zones: usize, entries: usize, endpoints: usize, load: Load) -> Self {
+        let specs = vec![EndpointSpec::default(); endpoints];
+        Self::with_endpoints(seed, zones, entries, &specs, load)
+    }
+
+    /// Creates a site of endpoints that differ.
+    pub fn with_endpoints(
+        seed: u64,
+        zones: usize,
+        entries: usize,
+        specs: &[EndpointSpec],
+        load: Load,
+    ) -> Self {
+        let endpoints = specs.len();
         let zone = |number: usize| format!("zone-{}", number % zones).into();
         let mut site = Self {
             rng: StdRng::seed_from_u64(seed),
@@ -78,14 +95,16 @@
             agents: (0..endpoints)
                 .map(|_| GuardMachine::new(GuardConf { first_number: 1 }))
                 .collect(),
-            endpoints: (0..endpoints).map(|_| Endpoint::default()).collect(),
+            endpoints: specs.iter().map(|spec| Endpoint::new(*spec)).collect(),
             wakeups: vec![0; endpoints],
             load,
+            stragglers: (0.0, 1.0),
             last_caller: 0,
             callers: IndexMap::new(),
             jobs: IndexMap::new(),
             answered: Vec::new(),
             submits_until: 0,
+            starts: Vec::new(),
         };
         for agent in 0..endpoints {
             site.schedule(0, Event::Announce(agent));
@@ -107,8 +126,13 @@
     /// Plays the site; jobs arrive until the end, and callers wait for what is held then.
     pub fn play(&mut self, until: Micros) {
         self.submits_until = until;
+        self.handle_until(until + self.load.patience + 2 * SECOND);
+    }
+
+    /// Handles the events up to a moment.
+    pub fn handle_until(&mut self, until: Micros) {
         while let Some(first) = self.queue.first_entry() {
-            if first.key().0 > until + self.load.patience + 2 * SECOND {
+            if first.key().0 > until {
                 break;
             }
             let ((at, _), event) = first.remove_entry();
@@ -135,7 +159,7 @@
         self.queue.insert((self.at + pause, self.events), event);
     }
 
-    fn now(&self) -> Now {
+    pub fn now(&self) -> Now {
         let passed = Duration::from_micros(self.at);
         Now {
             instant: self.begin + passed,
@@ -167,8 +191,7 @@
             }
             Event::Announce(agent) => {
                 self.schedule(ANNOUNCE_INTERVAL, Event::Announce(agent));
-                let announced = Endpoint::announcement(agent, agent % self.zones, self.at);
-                self.agent_input(agent, GuardInput::Announced(announced));
+                self.announce(agent);
             }
             Event::RunEnds(agent, run, how) => {
                 self.endpoints[agent].end(run, how);
@@ -183,12 +206,21 @@
         }
     }
 
+    /// Lets an endpoint announce itself.
+    pub fn announce(&mut self, agent: usize) {
+        let announced = self.endpoints[agent].announcement(agent, agent % self.zones, self.at);
+        self.agent_input(agent, GuardInput::Announced(announced));
+    }
+
     fn submit(&mut self, entry: usize, kind: usize) {
         if self.at >= self.submits_until {
             return;
         }
         let zone = entry % self.zones;
-        let cores = f64::from(ENDPOINT_CPU) / 1_000.0 * as_f64(self.endpoints.len() as u64);
+        let specs = self.endpoints.iter().map(|endpoint| endpoint.spec);
+        let cores: f64 = specs.map(EndpointSpec::cores).sum();
+        let (share, factor) = self.stragglers;
+        let cores = cores / (1.0 + share * (factor - 1.0));
         let cores = cores * self.load.usual * self.load.factor(self.at);
         let mean = mean_pause(kind, cores / as_f64(self.entries.len() as u64));
         let pause = pause(&mut self.rng, mean);
@@ -200,7 +232,10 @@
             at: self.at,
             patience: self.load.patience,
         };
-        let played = PlayedJob::new(&mut self.rng, kind, zone, arrival);
+        let mut played = PlayedJob::new(&mut self.rng, kind, zone, arrival);
+        if share > 0.0 {
+            played.add_stragglers(&mut self.rng, share, factor);
+        }
         let submission = Submission {
             caller,
             route: route(kind),
@@ -212,7 +247,7 @@
         self.entry_input(entry, DispatchInput::Submit(submission));
     }
 
-    fn entry_input(&mut self, entry: usize, input: DispatchInput) {
+    pub fn entry_input(&mut self, entry: usize, input: DispatchInput) {
         let now = self.now();
         for action in self.entries[entry].handle(now, input) {
             match action {
@@ -242,7 +277,7 @@
         }
     }
 
-    fn agent_input(&mut self, agent: usize, input: GuardInput) {
+    pub fn agent_input(&mut self, agent: usize, input: GuardInput) {
         let now = self.now();
         for action in self.agents[agent].handle(now, input) {
             self.agent_action(agent, action);
@@ -264,7 +299,7 @@
             GuardAction::Record(_) => {}
             GuardAction::Send(entry, message) => {
                 let entry = number(&entry);
-                let name: AgentId = format!("agent-{agent}").into();
+                let name = agent_name(agent);
                 let input = match message {
                     GuardMessage::Resync(resync) => DispatchInput::AgentUp(name, 1, resync),
                     GuardMessage::Endpoint(info) => DispatchInput::EndpointChanged(name, info),
@@ -281,10 +316,17 @@
                 let played = caller.and_then(|caller| self.callers.get_mut(&caller));
                 let Some(played) = played else {
                     let refused = Answer::Refused(Some(clock), OrderFault::Unhealthy);
-                    self.answer(agent, GuardInput::Started(1, order.run, refused));
+                    let started = GuardInput::Started(order.incarnation, order.run, refused);
+                    self.answer(agent, started);
                     return;
                 };
-                let (need, work) = (played.job.steps[0].need, played.work[index]);
+                let step = &played.job.steps[0];
+                let estimate = u64::try_from(step.estimate.as_micros()).unwrap();
+                let start = (self.at, agent, estimate, played.deadline);
+                self.starts.push(start);
+                let speed = self.endpoints[agent].spec.speed;
+                let need = step.need;
+                let work = micros(as_f64(played.work[index]) / speed);
                 let has_room =
                     self.endpoints[agent].start(self.at, order.run, order.task, need, work);
                 played.has_run |= has_room;
@@ -294,12 +336,14 @@
                 } else {
                     Answer::Refused(Some(clock), OrderFault::NoRoom)
                 };
-                self.answer(agent, GuardInput::Started(1, order.run, answer));
+                let started = GuardInput::Started(order.incarnation, order.run, answer);
+                self.answer(agent, started);
             }
             GuardAction::Stop(order) => {
                 self.schedule(10 * MS, Event::RunEnds(agent, order.run, RunEnd::Stopped));
                 let answer = Answer::Done(clock, ());
-                self.answer(agent, GuardInput::Stopped(1, order.run, answer));
+                let stopped = GuardInput::Stopped(order.incarnation, order.run, answer);
+                self.answer(agent, stopped);
             }
             GuardAction::List(order) => self.list(agent, order),
         }
@@ -330,7 +374,8 @@
     fn answer_list(&mut self, agent: usize, order: ListOrder) {
         let reply = self.endpoints[agent].list(self.at, &order);
         let answer = Answer::Done(Duration::from_micros(self.at), reply);
-        self.answer(agent, GuardInput::Listed(1, order, answer));
+        let incarnation = order.incarnation;
+        self.answer(agent, GuardInput::Listed(incarnation, order, answer));
     }
 
     fn answer(&mut self, agent: usize, input: GuardInput) {
@@ -346,7 +391,11 @@
     }
 }
 
-fn entry_name(number: usize) -> EntryId {
+pub fn agent_name(number: usize) -> AgentId {
+    format!("agent-{number}").into()
+}
+
+pub fn entry_name(number: usize) -> EntryId {
     format!("entry-{number}").into()
 }
 
--- a/crates/decisions/tests/repeated_submissions.rs
+++ b/crates/decisions/tests/repeated_submissions.rs
@@ -109,6 +109,7 @@
             free: room(10),
             most_tasks: u16::MAX,
             slowness: 1.0,
+            speed: None,
             last_assignment: u64::MAX,
             ends,
             crashes: Vec::new(),
--- a/crates/observe/tests/logs_page.rs
+++ b/crates/observe/tests/logs_page.rs
@@ -138,6 +138,14 @@
             incarnation: 1,
             news: "usable".into(),
         },
+        DecisionEvent::EndpointSpeedLearned {
+            endpoint: "e".into(),
+            incarnation: 1,
+            jobs: 8,
+            slowness: 1.8,
+            error: 0.1,
+            routes: IndexMap::new(),
+        },
         DecisionEvent::EndpointCrashed {
             endpoint: "e".into(),
             incarnation: 1,
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -14,6 +14,7 @@
     Assignment {
         id: 1,
         job: "00000000000000a1".into(),
+        route: None,
         payload: "payload".into(),
         after_run: 0,
         start_within: Duration::from_millis(30),
--- a/crates/types/src/assignment.rs
+++ b/crates/types/src/assignment.rs
@@ -1,7 +1,7 @@
 //! Assignments: tasks of one job that an entry asks an agent to start.
 
 use {
-    crate::{AssignmentId, JobId, Resources, RunNumber, StepIndex, TaskIndex},
+    crate::{AssignmentId, JobId, Resources, RouteId, RunNumber, StepIndex, TaskIndex},
     serde::{Deserialize, Serialize},
     std::{fmt, sync::Arc, time::Duration},
 };
@@ -37,7 +37,7 @@
     pub at: TaskPosition,
     /// Resources that the task needs.
     pub need: Resources,
-    /// Run time that the entry expects on a healthy endpoint.
+    /// Run time that the entry expects on an endpoint of mean speed.
     pub expected: Duration,
 }
 
@@ -48,6 +48,9 @@
     pub id: AssignmentId,
     /// The job that the tasks belong to.
     pub job: JobId,
+    /// Route of the job; none from an entry that does not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub route: Option<RouteId>,
     /// Input passed to every task.
     pub payload: Arc<str>,
     /// Highest run number that the entry knows for the job, 0 if none of its
--- a/crates/types/src/decision_event.rs
+++ b/crates/types/src/decision_event.rs
@@ -5,6 +5,7 @@
         AgentId, AssignmentId, EndKind, EndpointId, EntryId, Incarnation, JobId, Revision, RouteId,
         RoutingVersion, RunNumber, ServiceId, TaskId, TaskPosition,
     },
+    indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::borrow::Cow,
 };
@@ -227,6 +228,21 @@
         /// The change, such as `announced`, `usable` or `silent`.
         news: Cow<'static, str>,
     },
+    /// An agent learned how fast its endpoint is.
+    EndpointSpeedLearned {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Number of the endpoint's run.
+        incarnation: Incarnation,
+        /// Number of recent jobs whose runs are behind the figures; 0 if they are forgotten.
+        jobs: u16,
+        /// Ratio of observed to expected run time.
+        slowness: f32,
+        /// Standard error of the natural logarithm of `slowness`.
+        error: f32,
+        /// Ratios of the routes whose tasks differ from the endpoint's others.
+        routes: IndexMap<RouteId, f32>,
+    },
     /// An agent learned that its endpoint crashed.
     EndpointCrashed {
         /// The endpoint.
@@ -335,6 +351,7 @@
             Self::TaskStopped { .. } => "task-stopped",
             Self::TaskEnded { .. } => "task-ended",
             Self::EndpointLifecycle { .. } => "endpoint-news",
+            Self::EndpointSpeedLearned { .. } => "endpoint-speed-learned",
             Self::EndpointCrashed { .. } => "endpoint-crashed",
             Self::EntryLost { .. } => "entry-lost",
             Self::RoutingInForce { .. } => "routing-in-force",
--- a/crates/types/src/endpoint_report.rs
+++ b/crates/types/src/endpoint_report.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        AssignmentId, EndpointId, Incarnation, Label, Resources, RunNumber, ServiceId, TaskId,
-        TaskPosition, ZoneId,
+        AssignmentId, EndpointId, EndpointSpeed, Incarnation, Label, Resources, RunNumber,
+        ServiceId, TaskId, TaskPosition, ZoneId,
     },
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -123,6 +123,10 @@
     pub most_tasks: u16,
     /// Ratio of observed to expected run time of the endpoint's tasks.
     pub slowness: f32,
+    /// What recent runs tell of the endpoint's speed; none if this did not change since the
+    /// last update to the entry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<EndpointSpeed>,
     /// Newest assignment of this entry that `free` takes into account.
     #[serde(rename = "seen")]
     pub last_assignment: AssignmentId,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 mod contract;
 mod decision_event;
 mod endpoint_report;
+mod endpoint_speed;
 mod exchange;
 mod ids;
 mod job;
@@ -34,6 +35,7 @@
     endpoint_report::{
         AgentUpdate, EndKind, EndpointCrash, EndpointInfo, Reserve, Resync, TaskEnd,
     },
+    endpoint_speed::EndpointSpeed,
     exchange::{
         Acknowledgement, AgentHello, Confirm, Confirmation, Fence, FenceReply, Finished, JobReply,
         KeyHash, KnownAgents, KnownRun, Lookup, LookupReply, RecordState, Reply, RunRecords,
