Count stragglers in a route's averages as before

Cause: begun_work_is_thrown_away_under_overload, case 1 (half more), failed with the averages cut at four mean deviations: jobs began later than they end almost certainly. Change: the averages of routes are as before; a run's time is still divided by the endpoint's slowness.

--- a/crates/decisions/src/placement/run_times.rs
+++ b/crates/decisions/src/placement/run_times.rs
@@ -5,16 +5,13 @@
 /// Weight of the newest run in a route's averages.
 const NEWEST_RUN_WEIGHT: f64 = 0.02;
 
-/// Smallest and largest ratio that one run may show.
+/// Smallest and largest ratio that one run may show, so that a straggler does not count
+/// as a change of the whole route.
 const RATIO_RANGE: (f64, f64) = (0.1, 4.0);
 
 /// Mean deviation of a route of which no run has ended yet: estimates are rough.
 const FIRST_DEVIATION: f64 = 0.25;
 
-/// Smallest mean deviation in the limit for one run, so that a route whose runs are all
-/// alike can still change.
-const LEAST_DEVIATION: f64 = 0.02;
-
 /// Mean deviations around the mean within which nearly every run ends.
 const MOST_DEVIATIONS: f64 = 4.0;
 
@@ -65,12 +62,8 @@
         1.0 + MOST_DEVIATIONS * self.deviation / self.mean
     }
 
-    /// Adds a run. One beyond what nearly all runs take counts as one at that limit, so
-    /// that a few stragglers make neither the mean nor the deviation larger, while a change
-    /// of the whole route is followed ever faster.
     fn record(&mut self, observed: f64) {
-        let most = MOST_DEVIATIONS * self.deviation.max(LEAST_DEVIATION);
-        let difference = (observed - self.mean).clamp(-most, most);
+        let difference = observed - self.mean;
         self.deviation += NEWEST_RUN_WEIGHT * (difference.abs() - self.deviation);
         self.mean += NEWEST_RUN_WEIGHT * difference;
     }
