--- a/crates/decisions/tests/best_effort_orders.rs
+++ b/crates/decisions/tests/best_effort_orders.rs
@@ -21,9 +21,6 @@
 /// as not started (1880).
 const MUTE_REGRESSIONS: [u64; 2] = [1_549, 1_880];
 
-/// Seeds of KNOWN-RED.txt, which run only by `CHESTNUTRUN_SEED`.
-const KNOWN_RED: [u64; 3] = [98, 103, 160];
-
 /// How long jobs are submitted and faults injected, in milliseconds.
 const FAULTS: u64 = 8_000;
 
@@ -58,10 +55,6 @@
     let first = read_env("CHESTNUTRUN_FIRST_SEED").unwrap_or(1);
     let seeds = read_env("CHESTNUTRUN_SEEDS").unwrap_or(SEEDS);
     for seed in regressions.into_iter().chain(first..first + seeds) {
-        if KNOWN_RED.contains(&seed) {
-            println!("seed {seed} is passed over: KNOWN-RED.txt");
-            continue;
-        }
         let outcome = std::panic::catch_unwind(|| run(new_site(seed)));
         assert!(outcome.is_ok(), "seed {seed} failed");
     }
