Refuse at arrival by a view of the site's waiting work

Cause: each entry compared its own waiting work with the cores of all endpoints, so that with 13 entries a refusal that could be known at arrival came at the last start. Ruled out as the only cause: the order within a priority; with the least time left alone, as many were refused late. Change: entries tell agents their waiting work by priority, agents return the sum and their rate in the updates that pass anyway, and entries refuse at arrival by a forecast from these; jobs that would otherwise start too late go first within their priority.

--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -10,8 +10,8 @@
         timing::millis,
     },
     chestnutrun_types::{
-        AgentUpdate, Assignment, DecisionEvent, EndKind, EntryId, Incarnation, Reserve, Resources,
-        Resync, Revocation, RunNumber, TaskId, ZoneId,
+        AgentUpdate, Assignment, ClassDemand, DecisionEvent, EndKind, EntryId, Incarnation,
+        Reserve, Resources, Resync, Revocation, RunNumber, TaskId, ZoneId,
     },
     std::time::Instant,
 };
@@ -60,6 +60,28 @@
         if let Some(state) = self.entries.get_mut(entry) {
             state.is_linked = false;
         }
+        self.demand.remove(entry);
+    }
+
+    pub(super) fn record_demand(
+        &mut self,
+        now: Instant,
+        entry: &EntryId,
+        demand: Vec<ClassDemand>,
+    ) {
+        if self.entries.get(entry).is_some_and(|state| state.is_linked) {
+            self.demand.record(now, entry, demand);
+        }
+    }
+
+    /// Records how much of the endpoint tasks hold while work waits for it.
+    pub(super) fn record_held_part(&mut self, now: Instant) {
+        let total = self.endpoint.as_ref().map(|e| e.info.total.cpu_millis);
+        if let Some(total) = total.filter(|total| *total > 0) {
+            let held = f64::from(self.runs.held_room().cpu_millis) / f64::from(total);
+            let is_waited_for = self.demand.is_waiting(now) && self.takes_work(now);
+            self.work_rate.record_held(now, held, is_waited_for);
+        }
     }
 
     pub(super) fn set_withdrawn(&mut self, entry: &EntryId, is_withdrawn: bool) {
@@ -192,6 +214,12 @@
             return;
         };
         let end = run.task_end(now, kind);
+        if kind == EndKind::Done {
+            let assigned = run.assigned;
+            let cpu_millis = assigned.need.cpu_millis;
+            self.work_rate
+                .record_run(cpu_millis, assigned.expected, end.ran);
+        }
         self.record_decision(DecisionEvent::TaskEnded {
             job: run.task.job.clone(),
             task: run.task.at,
@@ -217,6 +245,8 @@
         let room_of = self.room_by_position(now);
         let zone = self.zone();
         let newest_crash = self.crashes.newest();
+        let total = self.endpoint.as_ref().map(|e| e.info.total.cpu_millis);
+        let rate_cpu_millis = total.map(|total| self.work_rate.rate_cpu_millis(total));
         for (position, (entry, state)) in self.entries.iter_mut().enumerate() {
             let room = state.offer(room_of(position));
             let is_due = state
@@ -236,6 +266,8 @@
                 last_assignment: state.last_assignment,
                 ends: std::mem::take(&mut state.unsent_ends),
                 crashes: self.crashes.after(now, state.known_crash),
+                demand: self.demand.of_others(now, entry),
+                rate_cpu_millis,
             };
             state.known_crash = newest_crash;
             let message = GuardMessage::Update(update);
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         crashes::CrashReports,
+        demand::{KnownDemand, WorkRate},
         guard::{
             FencingToken, GuardAction, GuardInput, contention::Contention,
             endpoint_state::EndpointState, entry_state::EntryState, run::Phase, runs::Runs,
@@ -32,6 +33,8 @@
     pub(super) runs: Runs,
     pub(super) contention: Contention,
     pub(super) crashes: CrashReports,
+    pub(super) demand: KnownDemand,
+    pub(super) work_rate: WorkRate,
     pub(super) is_leaving: bool,
     pub(super) actions: Vec<GuardAction>,
 }
@@ -48,6 +51,8 @@
             runs: Runs::default(),
             contention: Contention::default(),
             crashes: CrashReports::default(),
+            demand: KnownDemand::default(),
+            work_rate: WorkRate::default(),
             is_leaving: false,
             actions: Vec::new(),
         }
@@ -68,6 +73,7 @@
             GuardInput::Proven(entry, proven_at) => self.record_entry_proof(&entry, proven_at),
             GuardInput::Assign(entry, assignment) => self.assign(at, &entry, assignment),
             GuardInput::Revoke(entry, revocation) => self.revoke(at, &entry, &revocation),
+            GuardInput::Demand(entry, demand) => self.record_demand(at, &entry, demand),
             GuardInput::Started(endpoint, run, answer) => {
                 self.handle_start_answer(at, endpoint, run, &answer);
             }
@@ -84,6 +90,7 @@
         self.start_waiting(at);
         self.send_long_poll(at);
         self.send_immediate_list_if_due(at);
+        self.record_held_part(at);
         self.send_updates(at);
         std::mem::take(&mut self.actions)
     }
@@ -169,6 +176,7 @@
         self.resend_refused_stops(now);
         self.end_lapsed_runs(now);
         self.forget_entries(now);
+        self.demand.forget_old(now);
     }
 
     pub(super) fn record_decision(&mut self, event: DecisionEvent) {
--- a/crates/decisions/src/guard/messages.rs
+++ b/crates/decisions/src/guard/messages.rs
@@ -3,8 +3,8 @@
 use {
     crate::guard::EndpointTime,
     chestnutrun_types::{
-        AgentUpdate, Assignment, DecisionEvent, EndpointId, EndpointInfo, EntryId, Incarnation,
-        Resync, Revocation, RunNumber, TaskId, ZoneId,
+        AgentUpdate, Assignment, ClassDemand, DecisionEvent, EndpointId, EndpointInfo, EntryId,
+        Incarnation, Resync, Revocation, RunNumber, TaskId, ZoneId,
     },
     std::{
         sync::Arc,
@@ -52,6 +52,8 @@
     Assign(EntryId, Assignment),
     /// An entry revokes assignments.
     Revoke(EntryId, Revocation),
+    /// An entry tells its demand for this endpoint.
+    Demand(EntryId, Vec<ClassDemand>),
     /// The endpoint answered a start.
     Started(Incarnation, RunNumber, Answer<()>),
     /// The endpoint answered a stop.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod agent;
 mod crashes;
+mod demand;
 pub mod front;
 pub mod guard;
 pub mod membership;
--- a/crates/decisions/src/placement/agent_inputs.rs
+++ b/crates/decisions/src/placement/agent_inputs.rs
@@ -89,6 +89,7 @@
         if !surplus.is_empty() {
             let revocation = Revocation {
                 assignments: surplus,
+                demand: None,
             };
             self.actions
                 .push(DispatchAction::Revoke(agent.clone(), revocation));
@@ -101,6 +102,8 @@
         };
         let was_linked = view.unlinked_at.is_none();
         view.unlink(now);
+        self.site.remove(agent);
+        self.teller.remove(agent);
         let until = now + LOST_AGENT_RUNS_END_AFTER;
         let mut in_doubt = 0;
         for job in self.jobs.values_mut() {
@@ -178,6 +181,7 @@
         let ends = std::mem::take(&mut update.ends);
         if let Some(view) = self.views.get_mut(agent) {
             view.update(now, &update);
+            self.site.update(now, agent, &update);
             self.changes.agents.insert(agent.clone());
         }
         for end in ends {
--- a/crates/decisions/src/placement/caller_inputs.rs
+++ b/crates/decisions/src/placement/caller_inputs.rs
@@ -40,6 +40,11 @@
         });
         let has_no_time = held.is_hopeless(now).then_some(RefusalReason::NoTime);
         let refusal = has_no_time.or_else(|| self.refusal_reason(now, &held));
+        let refusal = refusal.or_else(|| self.refusal_at_arrival(now, &held));
+        if refusal.is_none() {
+            self.record_accepted(now, &held);
+            self.submitted = Some(caller);
+        }
         self.jobs.insert(caller, held);
         if let Some(reason) = refusal {
             self.end_without_result(now, caller, reason);
--- a/crates/decisions/src/placement/dispatcher.rs
+++ b/crates/decisions/src/placement/dispatcher.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         crashes::CrashCounts,
+        demand::{AcceptedWork, DemandTeller, SiteView},
         placement::{
             CallerId, DispatchAction, DispatchInput, JobOutcome, RefusalReason,
-            backlog::Backlog,
+            backlog::{Backlog, retry_after},
             cancelled_jobs::CancelledJobs,
             candidates::can_ever_fit,
             changes::Changes,
@@ -14,7 +15,6 @@
             held_task::TaskState,
             known_endpoints::KnownEndpoints,
             run_times::RunTimesByRoute,
-            turn::{Turn, TurnKey},
         },
     },
     chestnutrun_types::{
@@ -43,6 +43,12 @@
     pub(super) run_times: RunTimesByRoute,
     /// Waiting work at the last tick.
     pub(super) backlogs: IndexMap<ServiceId, Backlog>,
+    /// Work accepted lately.
+    pub(super) accepted: IndexMap<ServiceId, AcceptedWork>,
+    pub(super) site: SiteView,
+    pub(super) teller: DemandTeller,
+    /// The job that the present input submits.
+    pub(super) submitted: Option<CallerId>,
     pub(super) crashes: CrashCounts,
     pub(super) actions: Vec<DispatchAction>,
 }
@@ -64,6 +70,10 @@
             known_endpoints: KnownEndpoints::default(),
             run_times: RunTimesByRoute::default(),
             backlogs: IndexMap::new(),
+            accepted: IndexMap::new(),
+            site: SiteView::default(),
+            teller: DemandTeller::default(),
+            submitted: None,
             crashes: CrashCounts::default(),
             actions: Vec::new(),
         }
@@ -86,6 +96,7 @@
         }
         self.give_up_crashing_jobs(at);
         self.place(at);
+        self.queue_submitted();
         std::mem::take(&mut self.actions)
     }
 
@@ -151,6 +162,7 @@
         self.crashes.forget_old(now);
         self.end_hopeless(now);
         self.refuse_unservable(now);
+        self.tell_demand(now);
     }
 
     /// Ends the begun jobs whose waiting tasks can no longer end before the deadline, so
@@ -166,41 +178,6 @@
         }
     }
 
-    /// Refuses jobs without a start that no endpoint can serve, or not before the caller's
-    /// deadline even if all of them work on what goes first.
-    pub(super) fn refuse_unservable(&mut self, now: Instant) {
-        let waiting = self.jobs.iter().filter(|(_, job)| job.has_ready_task());
-        let waiting = waiting.map(|(caller, job)| Turn::new(job).key(now, *caller));
-        let mut waiting: Vec<TurnKey> = waiting.collect();
-        waiting.sort_unstable();
-        let mut backlogs: IndexMap<ServiceId, Backlog> = IndexMap::new();
-        let mut refused = Vec::new();
-        for (.., caller) in waiting {
-            let Some(job) = self.jobs.get(&caller) else {
-                continue;
-            };
-            let service = &job.route.service;
-            if !backlogs.contains_key(service) {
-                backlogs.insert(service.clone(), self.empty_backlog(service));
-            }
-            let Some(backlog) = backlogs.get_mut(service) else {
-                continue;
-            };
-            let refusal = self.refusal_reason(now, job).or_else(|| {
-                let is_late = job.last_start() < now + backlog.shortest_wait();
-                is_late.then_some(RefusalReason::Overload)
-            });
-            match refusal.filter(|_| !job.may_have_run()) {
-                Some(reason) => refused.push((caller, reason)),
-                None => backlog.add(job),
-            }
-        }
-        self.backlogs = backlogs;
-        for (caller, reason) in refused {
-            self.end_without_result(now, caller, reason);
-        }
-    }
-
     /// Returns why no endpoint can serve a job; none if an endpoint can serve the
     /// job, or one may still appear.
     pub(super) fn refusal_reason(&self, now: Instant, job: &HeldJob) -> Option<RefusalReason> {
@@ -229,8 +206,7 @@
         let outcome = if job.may_have_run() {
             JobOutcome::Expired
         } else {
-            let backlog = self.backlogs.get(&job.route.service).copied();
-            let retry_after = backlog.unwrap_or_default().retry_after(&job.job.id);
+            let retry_after = retry_after(self.drain_time(now, job), &job.job.id);
             JobOutcome::Refused(reason, retry_after)
         };
         self.end_job(now, caller, outcome);
@@ -265,7 +241,10 @@
             by_agent.entry(agent).or_default().push(id);
         }
         for (agent, assignments) in by_agent {
-            let revocation = Revocation { assignments };
+            let revocation = Revocation {
+                assignments,
+                demand: None,
+            };
             self.actions.push(DispatchAction::Revoke(agent, revocation));
         }
         self.by_assignment.retain(|_, holder| *holder != caller);
--- a/crates/decisions/src/placement/endpoint_view.rs
+++ b/crates/decisions/src/placement/endpoint_view.rs
@@ -55,6 +55,7 @@
         self.reported = AgentUpdate {
             ends: Vec::new(),
             crashes: Vec::new(),
+            demand: Vec::new(),
             ..*update
         };
     }
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -10,8 +10,8 @@
         timing::millis,
     },
     chestnutrun_types::{
-        AgentId, AssignmentId, BestEffortJob, DecisionEvent, Route, RunNumber, StepIndex, StepSpec,
-        TaskPosition,
+        AgentId, AssignmentId, BestEffortJob, DecisionEvent, DemandClass, Route, RunNumber,
+        StepIndex, StepSpec, TaskPosition,
     },
     indexmap::IndexMap,
     std::{
@@ -38,6 +38,9 @@
     /// How many runs or assignments of tasks ended without completion.
     pub(crate) returned: u32,
     pub(crate) objective: Objective,
+    /// Whether the job starts in time only if it goes before all of its class that have
+    /// more time.
+    pub(crate) is_due: bool,
     /// The tasks, ordered by step.
     pub(crate) tasks: Vec<HeldTask>,
     steps: Vec<HeldStep>,
@@ -64,6 +67,7 @@
             placed_at: None,
             returned: 0,
             objective,
+            is_due: false,
             tasks,
             steps,
             has_run: false,
@@ -176,6 +180,11 @@
         }
     }
 
+    /// Returns the class of the work that waits.
+    pub(crate) fn class(&self) -> DemandClass {
+        self.priority()
+    }
+
     /// Returns the expected work of the tasks that wait, in core-seconds.
     pub(crate) fn waiting_work(&self) -> f64 {
         let waiting = self.tasks.iter();
--- a/crates/decisions/src/placement/messages.rs
+++ b/crates/decisions/src/placement/messages.rs
@@ -2,8 +2,8 @@
 
 use {
     chestnutrun_types::{
-        AgentId, AgentUpdate, Assignment, BestEffortJob, CancelledJob, DecisionEvent, EndpointInfo,
-        Incarnation, JobId, Resync, Revocation, Route,
+        AgentId, AgentUpdate, Assignment, BestEffortJob, CancelledJob, ClassDemand, DecisionEvent,
+        EndpointInfo, Incarnation, JobId, Resync, Revocation, Route,
     },
     std::{
         rc::Rc,
@@ -114,6 +114,8 @@
     Assign(AgentId, Assignment),
     /// Takes assignments back: the agent drops or stops their tasks.
     Revoke(AgentId, Revocation),
+    /// Tells an agent its part of this entry's demand.
+    TellDemand(AgentId, Vec<ClassDemand>),
     /// Tells the linked entries that a job was cancelled.
     SpreadCancel(CancelledJob),
     /// Records a decision in the structured log.
--- a/crates/decisions/src/placement/mod.rs
+++ b/crates/decisions/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod objective;
 mod placing;
 mod run_times;
+mod shortage;
 mod turn;
 
 pub use {
--- a/crates/decisions/src/timing.rs
+++ b/crates/decisions/src/timing.rs
@@ -67,6 +67,13 @@
 /// and was so at the last report: the entry places tasks there anyway.
 pub const AMPLE_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Shortest time between two messages of an entry that tell an agent its demand: about
+/// that between two reports of the agent, which carry it on.
+pub const DEMAND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How often an entry tells an agent an unchanged demand.
+pub const RETELL_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Longest time for which assigned tasks may wait at an agent. It is half of
 /// [`REPORT_INTERVAL`]: by then, reports have told of room at about half of the other
 /// endpoints.
--- a/crates/decisions/tests/best_effort_site/site.rs
+++ b/crates/decisions/tests/best_effort_site/site.rs
@@ -397,7 +397,10 @@
     pub(super) fn entry_action(&mut self, number: usize, action: DispatchAction) {
         self.trace(&(Node::Entry(number), &action));
         match action {
-            DispatchAction::Record(_) | DispatchAction::SpreadCancel(_) => {}
+            // Agents without the entries' demand report none, and entries estimate alone.
+            DispatchAction::Record(_)
+            | DispatchAction::SpreadCancel(_)
+            | DispatchAction::TellDemand(..) => {}
             DispatchAction::Answer(caller, job, outcome) => self.answer(caller, &job, outcome),
             DispatchAction::Assign(agent, assignment) => {
                 let agent = agent_number(&agent);
--- a/crates/decisions/tests/crash_site/site.rs
+++ b/crates/decisions/tests/crash_site/site.rs
@@ -121,6 +121,10 @@
                         GuardInput::Assign("entry".into(), assignment),
                     );
                 }
+                DispatchAction::TellDemand(agent, demand) => {
+                    let input = GuardInput::Demand("entry".into(), demand);
+                    self.agent(millis, &agent, input);
+                }
                 DispatchAction::Revoke(agent, revocation) => {
                     self.agent(
                         millis,
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -335,7 +335,13 @@
     let started = GuardInput::Started(1, run, Answer::Done(clock, ()));
     guard.handle(later(begin, 1), started);
     let assignments = vec![1];
-    let revoked = GuardInput::Revoke("entry".into(), Revocation { assignments });
+    let revoked = GuardInput::Revoke(
+        "entry".into(),
+        Revocation {
+            assignments,
+            demand: None,
+        },
+    );
     guard.handle(later(begin, 2), revoked);
     let refused = Answer::Refused(None, OrderFault::Unhealthy);
     guard.handle(later(begin, 3), GuardInput::Stopped(1, run, refused));
@@ -389,7 +395,13 @@
     );
     // Two runs are stopped; their room is free only once their ends are listed.
     let assignments = vec![1, 2];
-    let revoked = GuardInput::Revoke("entry".into(), Revocation { assignments });
+    let revoked = GuardInput::Revoke(
+        "entry".into(),
+        Revocation {
+            assignments,
+            demand: None,
+        },
+    );
     assert_eq!(
         starts(&guard.handle(now(4), revoked)),
         [],
--- a/crates/decisions/tests/overload.rs
+++ b/crates/decisions/tests/overload.rs
@@ -3,7 +3,7 @@
 mod overload_site;
 
 use {
-    overload_site::{KINDS, Load, MS, Micros, SECOND, Served, Site},
+    overload_site::{Kind, Load, MS, Micros, SECOND, Served, Site},
     rstest::rstest,
     std::ops::RangeInclusive,
 };
@@ -13,6 +13,37 @@
 const ENDPOINTS: usize = 24;
 const SEEDS: RangeInclusive<u64> = 1..=4;
 
+/// The kinds of a site: short and wide, long, and in between.
+const KINDS: [Kind; 3] = [
+    Kind {
+        name: "check",
+        priority: 0,
+        width: 8.0,
+        work: 51 * MS,
+        cpu: TASK_CPU,
+        share: 0.21,
+    },
+    Kind {
+        name: "render",
+        priority: 2,
+        width: 4.0,
+        work: 760 * MS,
+        cpu: TASK_CPU,
+        share: 0.28,
+    },
+    Kind {
+        name: "stamp",
+        priority: 1,
+        width: 2.0,
+        work: 170 * MS,
+        cpu: TASK_CPU,
+        share: 0.51,
+    },
+];
+
+/// Processor of a task of [`KINDS`], a quarter of an endpoint's.
+const TASK_CPU: f64 = 3_800.0;
+
 /// Seeds of the comparison of zones, in each of which few long jobs arrive.
 const ZONE_SEEDS: RangeInclusive<u64> = 1..=16;
 
@@ -56,6 +87,8 @@
             usual: 0.6,
             factors: vec![(0, 1.0), (begin, factor), (end, 1.0)],
             patience,
+            kinds: &KINDS,
+            of_kind: None,
         };
         let mut site = Site::new(seed, ZONES, ENTRIES, ENDPOINTS, load);
         site.play(until);
@@ -78,7 +111,8 @@
     let all = &played.all;
     println!(
         "{factor} times the usual, callers wait {} ms: {:.3} completed, {:.3} in target ({}), \
-         goodput {:.0}, {} of {} jobs refused, {} of them late, half within {} ms, {} thrown away",
+         goodput {:.0}, {} of {} jobs refused, {} of them late, half within {} ms, {:.3} within 100 ms, {} thrown \
+         away",
         patience / MS,
         all.share_completed(),
         all.share_in_target(),
@@ -88,6 +122,7 @@
         all.jobs,
         all.refused_late,
         all.median_refusal() / MS,
+        all.share_refused_within(100 * MS),
         all.thrown_away,
     );
     played
--- a/crates/decisions/tests/overload_site/load.rs
+++ b/crates/decisions/tests/overload_site/load.rs
@@ -16,38 +16,12 @@
     pub width: f64,
     /// Mean work of a task.
     pub work: Micros,
+    /// Mean processor of a task, in thousandths of a core.
+    pub cpu: f64,
     /// Share of the site's processor that the kind needs at a load of 1.
     pub share: f64,
 }
 
-/// The kinds of a site: short and wide, long, and in between.
-pub const KINDS: [Kind; 3] = [
-    Kind {
-        name: "check",
-        priority: 0,
-        width: 8.0,
-        work: 51 * MS,
-        share: 0.21,
-    },
-    Kind {
-        name: "render",
-        priority: 2,
-        width: 4.0,
-        work: 760 * MS,
-        share: 0.28,
-    },
-    Kind {
-        name: "stamp",
-        priority: 1,
-        width: 2.0,
-        work: 170 * MS,
-        share: 0.51,
-    },
-];
-
-/// Mean processor of a task, in thousandths of a core.
-const TASK_CPU: f64 = 3_800.0;
-
 /// How much an estimate may differ from the true work, either way.
 const ESTIMATE_ERROR: f64 = 0.4;
 
@@ -67,10 +41,16 @@
     pub factors: Vec<(Micros, f64)>,
     /// How long callers wait beyond the time that their job runs.
     pub patience: Micros,
+    pub kinds: &'static [Kind],
+    /// The kind that the factors hold for; all if none.
+    pub of_kind: Option<usize>,
 }
 
 impl Load {
-    pub fn factor(&self, at: Micros) -> f64 {
+    pub fn factor(&self, at: Micros, kind: usize) -> f64 {
+        if self.of_kind.is_some_and(|of| of != kind) {
+            return 1.0;
+        }
         let begun = self.factors.iter().take_while(|(from, _)| *from <= at);
         begun.last().map_or(1.0, |(_, factor)| *factor)
     }
@@ -79,7 +59,9 @@
 /// A job with what the simulation knows of it.
 #[derive(Clone, Debug)]
 pub struct PlayedJob {
+    pub number: u64,
     pub kind: usize,
+    pub spec: Kind,
     pub zone: usize,
     pub arrived_at: Micros,
     pub job: Rc<BestEffortJob>,
@@ -96,8 +78,9 @@
             number,
             at,
             patience,
+            ..
         } = arrival;
-        let spec = KINDS[kind];
+        let spec = arrival.kinds[kind];
         let width = (spec.width * spread(rng, 0.4))
             .round()
             .clamp(1.0, 4.0 * spec.width);
@@ -106,7 +89,7 @@
         let work: Vec<Micros> = (0..tasks)
             .map(|_| micros(as_f64(mean) * spread(rng, 0.15)).max(MS))
             .collect();
-        let cpu = u32::try_from(micros(TASK_CPU * spread(rng, 0.2))).expect("few cores");
+        let cpu = u32::try_from(micros(spec.cpu * spread(rng, 0.2))).expect("few cores");
         let error = rng.random_range(1.0 - ESTIMATE_ERROR..1.0 + ESTIMATE_ERROR);
         let longest = work.iter().max().copied().unwrap_or_default();
         let id: JobId = format!("{number:016x}").into();
@@ -124,7 +107,9 @@
             most_per_endpoint: None,
         };
         Self {
+            number,
             kind,
+            spec,
             zone,
             arrived_at: at,
             job: Rc::new(BestEffortJob {
@@ -138,6 +123,11 @@
         }
     }
 
+    /// Returns the last moment at which the job can start and end before its deadline.
+    pub fn last_possible_start(&self) -> Micros {
+        self.deadline - self.work.iter().max().copied().unwrap_or_default()
+    }
+
     /// Returns the time within which the queue promises an answer.
     fn target(&self) -> Micros {
         let longest = self.work.iter().max().copied().unwrap_or_default();
@@ -145,7 +135,7 @@
     }
 
     /// Returns the processor time of all tasks.
-    fn processor_time(&self) -> f64 {
+    pub fn processor_time(&self) -> f64 {
         let cpu = f64::from(self.job.steps[0].need.cpu_millis) / 1_000.0;
         cpu * as_f64(self.work.iter().sum())
     }
@@ -164,6 +154,7 @@
     pub number: u64,
     pub at: Micros,
     pub patience: Micros,
+    pub kinds: &'static [Kind],
 }
 
 /// What callers got for the jobs that they submitted within a span of time.
@@ -177,6 +168,10 @@
     /// Jobs that were answered within the target of their queue.
     pub in_target: u32,
     pub refused: u32,
+    /// Jobs that were refused although an all-knowing queue served them.
+    pub refused_in_vain: u32,
+    /// Jobs that the all-knowing queue refused.
+    pub refused_by_ideal: u32,
     /// Times from arrival to refusal.
     pub refused_after: Vec<Micros>,
     /// Jobs that were refused after the last moment at which they could have started.
@@ -200,12 +195,20 @@
         times.get(times.len() / 2).copied().unwrap_or_default()
     }
 
+    /// Returns the share of the refused that were told within this time.
+    pub fn share_refused_within(&self, limit: Micros) -> f64 {
+        let told = self.refused_after.iter().filter(|took| **took <= limit);
+        as_f64(told.count() as u64) / f64::from(self.refused.max(1))
+    }
+
     pub fn extend(&mut self, other: Self) {
         self.jobs += other.jobs;
         self.completed += other.completed;
         self.in_target += other.in_target;
         self.goodput += other.goodput;
         self.refused += other.refused;
+        self.refused_in_vain += other.refused_in_vain;
+        self.refused_by_ideal += other.refused_by_ideal;
         self.refused_after.extend(other.refused_after);
         self.refused_late += other.refused_late;
         self.thrown_away += other.thrown_away;
@@ -232,8 +235,7 @@
 }
 
 /// Returns the route of a kind of job.
-pub fn route(kind: usize) -> Arc<Route> {
-    let spec = KINDS[kind];
+pub fn route(spec: Kind) -> Arc<Route> {
     Arc::new(Route {
         id: spec.name.into(),
         host: "host".into(),
@@ -249,9 +251,8 @@
 }
 
 /// Returns the mean time between two jobs of a kind that use `cores` together.
-pub fn mean_pause(kind: usize, cores: f64) -> f64 {
-    let spec = KINDS[kind];
-    let job = spec.width * as_f64(spec.work) * TASK_CPU / 1_000.0;
+pub fn mean_pause(spec: Kind, cores: f64) -> f64 {
+    let job = spec.width * as_f64(spec.work) * spec.cpu / 1_000.0;
     job / (cores * spec.share)
 }
 
--- a/crates/decisions/tests/overload_site/mod.rs
+++ b/crates/decisions/tests/overload_site/mod.rs
@@ -2,11 +2,12 @@
 //! handed-in clock.
 
 mod endpoint;
+mod ideal;
 mod load;
 mod site;
 
 pub use {
-    load::{KINDS, Load, Served},
+    load::{Kind, Load, Served},
     site::Site,
 };
 
--- a/crates/decisions/tests/overload_site/site.rs
+++ b/crates/decisions/tests/overload_site/site.rs
@@ -4,7 +4,8 @@
     super::{
         Load, MS, Micros, SECOND, Served,
         endpoint::{ENDPOINT_CPU, Endpoint},
-        load::{Arrival, KINDS, PlayedJob, as_f64, mean_pause, pause, route},
+        ideal,
+        load::{Arrival, PlayedJob, as_f64, mean_pause, pause, route},
     },
     chestnutrun_decisions::{
         guard::{
@@ -14,7 +15,7 @@
         placement::{CallerId, DispatchAction, DispatchInput, Dispatcher, JobOutcome, Submission},
     },
     chestnutrun_types::{AgentId, EntryId, JobId, Now},
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     rand::{SeedableRng, rngs::StdRng},
     std::{
         collections::BTreeMap,
@@ -97,7 +98,7 @@
         }
         for entry in 0..entries {
             site.schedule(MS, Event::EntryTick(entry));
-            for kind in 0..KINDS.len() {
+            for kind in 0..site.load.kinds.len() {
                 site.schedule(SECOND, Event::Submit(entry, kind));
             }
         }
@@ -120,16 +121,29 @@
     /// Returns what callers got that submitted within a span of time.
     pub fn served(&self, from: Micros, until: Micros, of: impl Fn(usize, usize) -> bool) -> Served {
         let mut served = Served::default();
+        let ideal = self.served_by_ideal();
         for (job, at, outcome) in &self.answered {
             if (from..until).contains(&job.arrived_at) && of(job.kind, job.zone) {
                 let is_refused = matches!(outcome, JobOutcome::Refused(..));
                 assert!(!is_refused || !job.has_run, "a refused job has run");
                 served.add(job, *at, *outcome == JobOutcome::Completed, is_refused);
+                let is_in_vain = is_refused && ideal.contains(&job.number);
+                served.refused_in_vain += u32::from(is_in_vain);
+                served.refused_by_ideal += u32::from(!ideal.contains(&job.number));
             }
         }
         served
     }
 
+    /// Returns the jobs that an all-knowing queue serves with a tenth of the room to spare.
+    fn served_by_ideal(&self) -> IndexSet<u64> {
+        let cpu_millis = u64::from(ENDPOINT_CPU) * self.endpoints.len() as u64;
+        let jobs = self.answered.iter().map(|(job, ..)| job);
+        ideal::serve(jobs, cpu_millis * 9 / 10)
+            .into_iter()
+            .collect()
+    }
+
     fn schedule(&mut self, pause: Micros, event: Event) {
         self.events += 1;
         self.queue.insert((self.at + pause, self.events), event);
@@ -189,8 +203,11 @@
         }
         let zone = entry % self.zones;
         let cores = f64::from(ENDPOINT_CPU) / 1_000.0 * as_f64(self.endpoints.len() as u64);
-        let cores = cores * self.load.usual * self.load.factor(self.at);
-        let mean = mean_pause(kind, cores / as_f64(self.entries.len() as u64));
+        let cores = cores * self.load.usual * self.load.factor(self.at, kind);
+        let mean = mean_pause(
+            self.load.kinds[kind],
+            cores / as_f64(self.entries.len() as u64),
+        );
         let pause = pause(&mut self.rng, mean);
         self.schedule(pause, Event::Submit(entry, kind));
         self.last_caller += 1;
@@ -199,11 +216,12 @@
             number: caller,
             at: self.at,
             patience: self.load.patience,
+            kinds: self.load.kinds,
         };
         let played = PlayedJob::new(&mut self.rng, kind, zone, arrival);
         let submission = Submission {
             caller,
-            route: route(kind),
+            route: route(played.spec),
             job: played.job.clone(),
             deadline: self.begin + Duration::from_micros(played.deadline),
         };
@@ -230,6 +248,14 @@
                         Event::Agent(agent, Box::new(input)),
                     );
                 }
+                DispatchAction::TellDemand(agent, demand) => {
+                    let agent = number(&agent);
+                    let input = GuardInput::Demand(entry_name(entry), demand);
+                    self.schedule(
+                        self.delay(agent, entry),
+                        Event::Agent(agent, Box::new(input)),
+                    );
+                }
                 DispatchAction::Revoke(agent, revocation) => {
                     let agent = number(&agent);
                     let input = GuardInput::Revoke(entry_name(entry), revocation);
--- a/crates/decisions/tests/placement.rs
+++ b/crates/decisions/tests/placement.rs
@@ -141,6 +141,7 @@
             last_assignment: u64::MAX,
             ends,
             crashes: Vec::new(),
+            ..AgentUpdate::default()
         };
         self.handle_after(after, DispatchInput::Update(AGENT.into(), update))
     }
@@ -293,6 +294,7 @@
         last_assignment: u64::MAX,
         ends: ends(&begun, 1),
         crashes: Vec::new(),
+        ..AgentUpdate::default()
     };
     let placed = assignments(entry.handle_after(LATE, DispatchInput::Update(AGENT.into(), update)));
     let jobs: Vec<_> = placed.iter().map(|assigned| assigned.job.clone()).collect();
--- a/crates/decisions/tests/repeated_submissions.rs
+++ b/crates/decisions/tests/repeated_submissions.rs
@@ -112,6 +112,7 @@
             last_assignment: u64::MAX,
             ends,
             crashes: Vec::new(),
+            ..AgentUpdate::default()
         };
         self.handle(at, DispatchInput::Update(AGENT.into(), update))
     }
--- a/crates/dispatch/src/agent_links.rs
+++ b/crates/dispatch/src/agent_links.rs
@@ -102,9 +102,14 @@
                     self.handle_input(GuardInput::Assign(entry, assignment));
                 }
             }
-            Message::Revoke(revocation) => {
+            Message::Revoke(mut revocation) => {
                 if let Some(entry) = self.entry_of_link(id) {
-                    self.handle_input(GuardInput::Revoke(entry, revocation));
+                    if let Some(demand) = revocation.demand.take() {
+                        self.handle_input(GuardInput::Demand(entry.clone(), demand));
+                    }
+                    if !revocation.assignments.is_empty() {
+                        self.handle_input(GuardInput::Revoke(entry, revocation));
+                    }
                 }
             }
             other => log::warn!(
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -18,7 +18,7 @@
     },
     chestnutrun_net::{LinkEvent, LinkIds, LinkServerConf, serve_links},
     chestnutrun_protocol::{Hello, Message},
-    chestnutrun_types::{CancelledJob, Member, Now, ZoneId},
+    chestnutrun_types::{CancelledJob, Member, Now, Revocation, ZoneId},
     indexmap::IndexMap,
     std::{net::SocketAddr, time::Duration},
     tokio::{
@@ -236,6 +236,16 @@
                     );
                 }
             }
+            DispatchAction::TellDemand(agent, demand) => {
+                let revocation = Revocation {
+                    assignments: Vec::new(),
+                    demand: Some(demand),
+                };
+                // An agent without an open link needs none: it forgot this entry's demand.
+                let _ = self
+                    .peers
+                    .send_to_agent(&agent, Message::Revoke(revocation));
+            }
             DispatchAction::Revoke(agent, revocation) => {
                 if !self
                     .peers
--- a/crates/observe/src/job_history.rs
+++ b/crates/observe/src/job_history.rs
@@ -123,6 +123,26 @@
         Some((length, longest.0, longest.1))
     }
 
+    /// Describes the view of the site on which the job was refused; none if it was refused
+    /// without one.
+    fn describe_forecast(&self) -> Option<String> {
+        self.lines.iter().rev().find_map(|line| match &line.event {
+            DecisionEvent::JobRefusedByForecast {
+                wait_ms,
+                left_ms,
+                work_core_ms,
+                rate_cpu_millis,
+                view_age_ms,
+                ..
+            } => Some(format!(
+                "room was expected after {wait_ms} ms, and the job had to start within \
+                 {left_ms} ms: {work_core_ms} core-ms of work went first, endpoints worked at \
+                 {rate_cpu_millis} thousandths of a core, seen {view_age_ms} ms before"
+            )),
+            _ => None,
+        })
+    }
+
     /// Describes in one sentence why the job ended with its outcome, or what took
     /// most of its time.
     #[must_use]
@@ -136,12 +156,12 @@
             _ => None,
         });
         match answered {
-            Some(("refused-overload", _)) => {
+            Some(("refused-overload", _)) => self.describe_forecast().unwrap_or_else(|| {
                 format!(
                     "no endpoint had free capacity in time; {}",
                     self.describe_load()
                 )
-            }
+            }),
             Some(("refused-no-endpoint", _)) => "no endpoint was connected to the entry".to_owned(),
             Some(("refused-never-fits", _)) => {
                 "no endpoint is large enough and has the label that a task requires".to_owned()
--- a/crates/observe/tests/logs_page.rs
+++ b/crates/observe/tests/logs_page.rs
@@ -64,6 +64,14 @@
             at_agents: 0,
             returned: 0,
         },
+        DecisionEvent::JobRefusedByForecast {
+            job: "j".into(),
+            wait_ms: 1,
+            left_ms: 1,
+            work_core_ms: 1,
+            rate_cpu_millis: 1,
+            view_age_ms: 1,
+        },
         DecisionEvent::JobGivenUp {
             job: "j".into(),
             crashes: 2,
--- a/crates/types/src/assignment.rs
+++ b/crates/types/src/assignment.rs
@@ -1,7 +1,7 @@
 //! Assignments: tasks of one job that an entry asks an agent to start.
 
 use {
-    crate::{AssignmentId, JobId, Resources, RunNumber, StepIndex, TaskIndex},
+    crate::{AssignmentId, ClassDemand, JobId, Resources, RunNumber, StepIndex, TaskIndex},
     serde::{Deserialize, Serialize},
     std::{fmt, sync::Arc, time::Duration},
 };
@@ -68,9 +68,12 @@
 }
 
 /// Cancels assignments: the agent drops tasks that wait and stops tasks that
-/// run.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// run. It also carries the entry's demand, which an agent of an earlier build ignores.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Revocation {
     /// The assignments to cancel.
     pub assignments: Vec<AssignmentId>,
+    /// The agent's part of the entry's demand, by class; none leaves the known one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub demand: Option<Vec<ClassDemand>>,
 }
--- a/crates/types/src/decision_event.rs
+++ b/crates/types/src/decision_event.rs
@@ -98,6 +98,21 @@
         /// Number of times that an agent returned a task that did not complete.
         returned: u32,
     },
+    /// An entry refused a job that by its view of the site cannot start in time.
+    JobRefusedByForecast {
+        /// The job.
+        job: JobId,
+        /// Time that the job would wait for room.
+        wait_ms: u64,
+        /// Time until the last moment at which the job can start.
+        left_ms: u64,
+        /// Work that gets room before the job, in thousandths of a core-second.
+        work_core_ms: u64,
+        /// Rate at which the endpoints work.
+        rate_cpu_millis: u64,
+        /// Mean age of the reports that the view consists of.
+        view_age_ms: u64,
+    },
     /// An entry gave up a job, since endpoints crashed under one of its tasks.
     JobGivenUp {
         /// The job.
@@ -304,6 +319,7 @@
             | Self::TasksPlaced { job, .. }
             | Self::TaskReturned { job, .. }
             | Self::JobAnswered { job, .. }
+            | Self::JobRefusedByForecast { job, .. }
             | Self::JobGivenUp { job, .. }
             | Self::CallerDisconnected { job, .. }
             | Self::TaskStarted { job, .. }
@@ -323,6 +339,7 @@
             Self::TasksPlaced { .. } => "tasks-placed",
             Self::TaskReturned { .. } => "task-returned",
             Self::JobAnswered { .. } => "job-answered",
+            Self::JobRefusedByForecast { .. } => "job-refused-by-forecast",
             Self::JobGivenUp { .. } => "job-given-up",
             Self::CancelRequested { .. } => "cancel-requested",
             Self::RouteNotFound { .. } => "route-not-found",
--- a/crates/types/src/endpoint_report.rs
+++ b/crates/types/src/endpoint_report.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        AssignmentId, EndpointId, Incarnation, Label, Resources, RunNumber, ServiceId, TaskId,
-        TaskPosition, ZoneId,
+        AssignmentId, ClassDemand, EndpointId, Incarnation, Label, Resources, RunNumber, ServiceId,
+        TaskId, TaskPosition, ZoneId,
     },
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -131,6 +131,13 @@
     /// Crashes of the endpoint that this entry does not know of.
     #[serde(default)]
     pub crashes: Vec<EndpointCrash>,
+    /// Demand that the other linked entries told, by class; the most urgent first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub demand: Vec<ClassDemand>,
+    /// Work that the endpoint does while work waits, in thousandths of a core at the
+    /// expected run times; none from an agent that does not measure it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_cpu_millis: Option<u32>,
 }
 
 /// First message of an agent on a link, which reports the state of the entry's
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod contract;
 mod decision_event;
+mod demand;
 mod endpoint_report;
 mod exchange;
 mod ids;
@@ -31,6 +32,7 @@
     configuration::{Configuration, DrainState, RowRevisions},
     contract::{Contract, ContractBuilder, ContractError, Overflow},
     decision_event::DecisionEvent,
+    demand::{ClassDemand, DemandClass},
     endpoint_report::{
         AgentUpdate, EndKind, EndpointCrash, EndpointInfo, Reserve, Resync, TaskEnd,
     },
