Serve plain HTTP in one place

Cause: serve_http repeated the settings of serve_http_within; a comment was wrapped in the middle of a sentence. Change: serve_http calls serve_http_within with an intake of its own. Behaviour is as before.

--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -43,9 +43,8 @@
 const DIRECTORY_READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How long an agent of a site that evacuates zones starts nothing while it does not know
-/// the evacuated ones. Entries
-/// tell them as links open; they do not know them only if the directory was away since they
-/// began to run, and if they are earlier builds.
+/// the evacuated ones. Entries tell them as links open; they do not know them only if the
+/// directory was away since they began to run, and if they are earlier builds.
 const MAX_ZONES_UNKNOWN: Duration = Duration::from_secs(10);
 
 /// Part of the platform's grace period that is reserved for the exit of the
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -71,13 +71,7 @@
         + 'static,
     E: ErrorContainer + 'static,
 {
-    let conf = ServeConf {
-        cfg,
-        fault_response: plain_fault,
-        intake: SharedIntake::default(),
-        tls: None,
-    };
-    serve_http_with(listener, app, conf).await;
+    serve_http_within(listener, app, cfg, SharedIntake::default()).await;
 }
 
 /// Serves an application over plain HTTP until the process ends, within the limits of an
