Move what crowds send from the platform's tests to the bench

Cause: the scripts of clients that do not keep to the limits stood in one test of the platform, so that neither the product's own path nor a command could play them. Change: crates/bench has the shapes, made of the requests of whichever listener they are played against (a trait), and some further shapes; the platform's tests use them. No product code.

--- a/platform/tests/crowds/crowd.rs
+++ b/crates/bench/src/crowd/crowd_clients.rs
@@ -1,10 +1,11 @@
 //! A crowd of clients that send the same bytes at once and keep their connections open.
 
 use {
+    crate::crowd::{Script, script::with_id},
     std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::AsyncWriteExt,
-        net::{TcpSocket, TcpStream},
+        net::{TcpSocket, tcp::WriteHalf},
         task::JoinHandle,
         time::{sleep, timeout},
     },
@@ -17,43 +18,50 @@
 /// reads stay at their sender.
 const CLIENT_BUFFER_BYTES: u32 = 4_096;
 
-/// What each client of a crowd sends: a head, then a piece that it repeats, then a tail.
-#[derive(Clone, Debug, Default)]
-pub struct Script {
-    pub head: Vec<u8>,
-    pub piece: Vec<u8>,
-    pub repeats: usize,
-    pub tail: Vec<u8>,
-}
+/// Ids of a crowd are higher, so that they are not those of ordinary requests.
+const LOWEST_ID: u64 = 1 << 40;
 
-/// Clients with open connections that never read.
+/// Clients with open connections.
+#[derive(Debug)]
 pub struct Crowd {
     clients: Vec<JoinHandle<()>>,
-    written: Rc<Cell<u64>>,
+    script: Rc<Script>,
+    sent: Rc<Sent>,
+}
+
+/// What all clients of a crowd have sent.
+#[derive(Debug, Default)]
+struct Sent {
+    bytes: Cell<u64>,
+    last_id: Cell<u64>,
 }
 
 impl Crowd {
-    /// Opens the connections and starts to send.
+    /// Opens the connections and starts to send; has to be called within a local set of
+    /// tasks.
+    #[must_use]
     pub fn start(to: SocketAddr, clients: usize, script: Script) -> Self {
-        let written = Rc::new(Cell::new(0));
+        let sent = Rc::new(Sent::default());
         let script = Rc::new(script);
         let clients = (0..clients).map(|_| {
-            let (script, written) = (script.clone(), written.clone());
-            tokio::task::spawn_local(run_client(to, script, written))
+            let (script, sent) = (script.clone(), sent.clone());
+            tokio::task::spawn_local(async move { open(to, &script, &sent).await })
         });
         Self {
             clients: clients.collect(),
-            written,
+            script,
+            sent,
         }
     }
 
     /// Waits until the process reads no more bytes of the crowd, or for `longest`.
     pub async fn until_quiet(&self, longest: Duration) {
+        let is_silent = *self.script == Script::default();
         let wait = async {
             loop {
-                let before = self.written.get();
+                let before = self.sent.bytes.get();
                 sleep(QUIET_TIME).await;
-                if before > 0 && self.written.get() == before {
+                if (before > 0 || is_silent) && self.sent.bytes.get() == before {
                     return;
                 }
             }
@@ -63,8 +71,9 @@
     }
 
     /// Returns the bytes that the sockets of all clients took.
+    #[must_use]
     pub fn written(&self) -> u64 {
-        self.written.get()
+        self.sent.bytes.get()
     }
 
     /// Closes all connections.
@@ -76,30 +85,44 @@
 }
 
 /// Sends the script until the process closes the connection, and keeps the connection
-/// open until the crowd is closed.
-async fn run_client(to: SocketAddr, script: Rc<Script>, written: Rc<Cell<u64>>) {
+/// open until the future is dropped. Returns only if there is no connection.
+async fn open(to: SocketAddr, script: &Script, sent: &Sent) {
     let socket = TcpSocket::new_v4().expect("a socket is created");
     let sized = socket.set_recv_buffer_size(CLIENT_BUFFER_BYTES);
     sized.expect("the buffer size is set");
     let Ok(mut connection) = socket.connect(to).await else {
         return;
     };
+    let (mut read_half, mut write_half) = connection.split();
     let pieces = std::iter::repeat_n(&script.piece, script.repeats);
-    for part in [&script.head]
-        .into_iter()
-        .chain(pieces)
-        .chain([&script.tail])
-    {
-        if !write(&mut connection, part, &written).await {
-            break;
+    let parts = [&script.head].into_iter().chain(pieces);
+    let write_all = async {
+        for part in parts.chain([&script.tail]) {
+            if !write(&mut write_half, part, sent).await {
+                break;
+            }
         }
+    };
+    if script.reads {
+        let mut nowhere = tokio::io::sink();
+        let read = tokio::io::copy(&mut read_half, &mut nowhere);
+        // A connection that ended is as good as one that stays open.
+        let _ = tokio::join!(write_all, read);
+    } else {
+        write_all.await;
     }
     std::future::pending::<()>().await;
 }
 
 /// Writes bytes; returns false if the process closed the connection.
-async fn write(connection: &mut TcpStream, bytes: &[u8], written: &Cell<u64>) -> bool {
+async fn write(connection: &mut WriteHalf<'_>, bytes: &[u8], sent: &Sent) -> bool {
+    let number = sent.last_id.get() + 1;
+    let own = with_id(bytes, LOWEST_ID + number);
+    if own.is_some() {
+        sent.last_id.set(number);
+    }
+    let bytes = own.as_deref().unwrap_or(bytes);
     let is_written = connection.write_all(bytes).await.is_ok();
-    written.set(written.get() + bytes.len() as u64);
+    sent.bytes.set(sent.bytes.get() + bytes.len() as u64);
     is_written
 }
--- /dev/null
+++ b/crates/bench/src/crowd/mod.rs
@@ -0,0 +1,13 @@
+//! Crowds of clients that do not keep to the limits: what they send.
+
+mod client_requests;
+mod crowd_clients;
+mod script;
+mod shape;
+
+pub use {
+    client_requests::ClientRequests,
+    crowd_clients::Crowd,
+    script::{OWN_ID, Script},
+    shape::{Shape, UnknownShape},
+};
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The crate is for tests and measurements; the shipped programs do not link it.
 
+pub mod crowd;
 pub mod demo;
 pub mod experiment;
 pub mod observation;
