Refuse a chunk whose line does not end

Seen: 400 clients that send a chunked body whose first chunk has an extension without an end took 76,044 kB of 65,536 (callers), 73,644 kB (a path without a route) and 71,516 kB (heartbeats at an agent); with 1,200 clients 111,032 kB. Cause: the HTTP library has no bound for the line between the pieces of a chunked body, and collects it while a body is asked for; where no handler takes the body, it collects on until the response. Change: a body is refused with 400 once 24 KB, the longest head, have arrived that are no piece of it, whether it is kept or dropped; every handler that waits takes its body. Below that, a connection is closed that holds 36 KB which the library has not decoded, in whichever state. Evidence: in net/tests/hostile.rs an extension of 16 KB passes and one of 28 KB is answered with 400 (no answer within 10 s before); a line that nobody reads closes its connection (taken whole, 64 MB, before).

--- a/crates/entry/src/callers/routes.rs
+++ b/crates/entry/src/callers/routes.rs
@@ -9,7 +9,7 @@
         event::Event,
         listener::Listener,
         problem::{Problem, method_not_allowed, not_found},
-        request_body::discard_body,
+        request_body::{discard_body, refuse_unread},
     },
     chestnutrun_net::RequestService,
     chestnutrun_settings::RequestLimits,
@@ -62,19 +62,34 @@
     listener.serve(app).await;
 }
 
-async fn post_only(payload: Payload) -> HttpResponse {
-    discard_body(payload).await;
-    method_not_allowed("POST")
+async fn post_only(
+    req: HttpRequest,
+    payload: Payload,
+    handle: State<CallerHandle>,
+) -> HttpResponse {
+    refuse_unread(&req, payload, &handle.intake, method_not_allowed("POST")).await
 }
 
-async fn get_or_delete(payload: Payload) -> HttpResponse {
-    discard_body(payload).await;
-    method_not_allowed("GET, DELETE")
+async fn get_or_delete(
+    req: HttpRequest,
+    payload: Payload,
+    handle: State<CallerHandle>,
+) -> HttpResponse {
+    refuse_unread(
+        &req,
+        payload,
+        &handle.intake,
+        method_not_allowed("GET, DELETE"),
+    )
+    .await
 }
 
-async fn unknown_path(payload: Payload) -> HttpResponse {
-    discard_body(payload).await;
-    not_found()
+async fn unknown_path(
+    req: HttpRequest,
+    payload: Payload,
+    handle: State<CallerHandle>,
+) -> HttpResponse {
+    refuse_unread(&req, payload, &handle.intake, not_found()).await
 }
 
 async fn submit(req: HttpRequest, payload: Payload, handle: State<CallerHandle>) -> HttpResponse {
@@ -97,8 +112,9 @@
     handle.submit(bearer_token(req), submit, wait).await
 }
 
-async fn query(req: HttpRequest, handle: State<CallerHandle>) -> HttpResponse {
+async fn query(req: HttpRequest, payload: Payload, handle: State<CallerHandle>) -> HttpResponse {
     let service = handle.intake.begin(req.io());
+    discard_body(&req, payload, &service).await;
     let result = try_query(&req, &handle).await;
     service.close();
     result.unwrap_or_else(|problem| problem.response())
@@ -112,8 +128,9 @@
         .await
 }
 
-async fn cancel(req: HttpRequest, handle: State<CallerHandle>) -> HttpResponse {
+async fn cancel(req: HttpRequest, payload: Payload, handle: State<CallerHandle>) -> HttpResponse {
     let service = handle.intake.begin(req.io());
+    discard_body(&req, payload, &service).await;
     let result = try_cancel(&req, &handle).await;
     service.close();
     result.unwrap_or_else(|problem| problem.response())
--- a/crates/entry/src/operators/routes.rs
+++ b/crates/entry/src/operators/routes.rs
@@ -8,7 +8,7 @@
             changes::{drain, history, put_contract, undrain},
         },
         problem::{method_not_allowed, not_found},
-        request_body::discard_body,
+        request_body::refuse_unread,
     },
     chestnutrun_net::HttpLimits,
     ntex::web::{
@@ -100,22 +100,46 @@
     }
 }
 
-async fn get_only(payload: Payload) -> HttpResponse {
-    discard_body(payload).await;
-    method_not_allowed("GET")
+async fn get_only(
+    req: HttpRequest,
+    payload: Payload,
+    handle: State<OperatorHandle>,
+) -> HttpResponse {
+    refuse_unread(&req, payload, &handle.intake, method_not_allowed("GET")).await
 }
 
-async fn get_or_put(payload: Payload) -> HttpResponse {
-    discard_body(payload).await;
-    method_not_allowed("GET, PUT")
+async fn get_or_put(
+    req: HttpRequest,
+    payload: Payload,
+    handle: State<OperatorHandle>,
+) -> HttpResponse {
+    refuse_unread(
+        &req,
+        payload,
+        &handle.intake,
+        method_not_allowed("GET, PUT"),
+    )
+    .await
 }
 
-async fn put_or_delete(payload: Payload) -> HttpResponse {
-    discard_body(payload).await;
-    method_not_allowed("PUT, DELETE")
+async fn put_or_delete(
+    req: HttpRequest,
+    payload: Payload,
+    handle: State<OperatorHandle>,
+) -> HttpResponse {
+    refuse_unread(
+        &req,
+        payload,
+        &handle.intake,
+        method_not_allowed("PUT, DELETE"),
+    )
+    .await
 }
 
-async fn unknown_path(payload: Payload) -> HttpResponse {
-    discard_body(payload).await;
-    not_found()
+async fn unknown_path(
+    req: HttpRequest,
+    payload: Payload,
+    handle: State<OperatorHandle>,
+) -> HttpResponse {
+    refuse_unread(&req, payload, &handle.intake, not_found()).await
 }
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::problem::Problem,
-    chestnutrun_net::{BodyFault, BodyLimits, RequestService, collect_body},
+    chestnutrun_net::{BodyFault, BodyLimits, RequestService, SharedIntake, collect_body},
     chestnutrun_settings::RequestLimits,
     ntex::{
         http::StatusCode,
-        web::{HttpRequest, types::Payload},
+        web::{HttpRequest, HttpResponse, types::Payload},
     },
     std::time::Duration,
 };
@@ -34,8 +34,22 @@
 
 /// Reads and drops a body, so that the connection can be reused. If the body exceeds a
 /// limit, the connection is closed after the response.
-pub(crate) async fn discard_body(payload: Payload) {
-    chestnutrun_net::discard_body(payload, DISCARD_LIMITS).await;
+pub(crate) async fn discard_body(req: &HttpRequest, payload: Payload, service: &RequestService) {
+    chestnutrun_net::discard_body(req, payload, DISCARD_LIMITS, service).await;
+}
+
+/// Reads and drops the body of a request that is refused without it, and returns the
+/// response.
+pub(crate) async fn refuse_unread(
+    req: &HttpRequest,
+    payload: Payload,
+    intake: &SharedIntake,
+    res: HttpResponse,
+) -> HttpResponse {
+    let service = intake.begin(req.io());
+    discard_body(req, payload, &service).await;
+    service.close();
+    res
 }
 
 fn body_problem(fault: &BodyFault, limits: &RequestLimits) -> Problem {
@@ -55,6 +69,11 @@
             "no-memory-for-body",
             fault.to_string(),
         ),
+        BodyFault::LongLine => Problem::new(
+            StatusCode::BAD_REQUEST,
+            "chunk-line-too-long",
+            fault.to_string(),
+        ),
         BodyFault::Broken(detail) => {
             Problem::new(StatusCode::BAD_REQUEST, "body-cut-off", detail.clone())
         }
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,14 +1,15 @@
 //! Reading request bodies within limits of size, time and memory.
 
 use {
-    crate::{ClosingCause, RequestService},
+    crate::{ClosingCause, RequestService, http::MAX_HEAD_BYTES},
     chestnutrun_decisions::intake::{Admission, SHORT_BODY_BYTES},
     ntex::{
         http::{Payload as HttpPayload, header},
+        io::IoRef,
         util::Bytes,
         web::{HttpRequest, types::Payload},
     },
-    std::time::Duration,
+    std::{future::poll_fn, task::Poll, time::Duration},
     thiserror::Error,
     tokio::time::{Instant, sleep_until, timeout_at},
 };
@@ -28,6 +29,10 @@
 /// How long a refused body is read.
 const DROP_TIME: Duration = Duration::from_secs(1);
 
+/// Longest line between the pieces of a chunked body, in bytes: as long as a head, since
+/// the library has no limit of its own for the extensions of a chunk.
+const MAX_LINE_BYTES: usize = MAX_HEAD_BYTES;
+
 /// Limits of one body.
 #[derive(Clone, Copy, Debug)]
 pub struct BodyLimits {
@@ -49,6 +54,9 @@
     /// The bodies of other requests take all memory for bodies.
     #[error("there is no memory for the body at the moment")]
     NoBytes,
+    /// A line between the pieces of a chunked body is too long.
+    #[error("a chunk has an extension that is too long")]
+    LongLine,
     /// The connection ended or the encoding is not valid.
     #[error("{0}")]
     Broken(String),
@@ -67,19 +75,15 @@
     limits: BodyLimits,
     service: &RequestService,
 ) -> Result<Vec<u8>, BodyFault> {
-    let mut payload = payload.into_inner();
-    if let HttpPayload::H1(stream) = &payload {
-        stream.max_buffer_size(UNTAKEN_BYTES);
-    }
-    let deadline = Instant::now() + limits.timeout;
-    let declared = content_length(req);
-    let read = read_within(&mut payload, declared, limits.max_bytes, deadline, service).await;
+    let mut body = Body::new(req, payload, limits, service);
+    let read = body.read(content_length(req), limits.max_bytes).await;
     if let Err(fault) = &read {
         service.release_body(0);
         record(fault, service);
         if matches!(fault, BodyFault::TooLong | BodyFault::NoBytes) {
+            body.deadline = Instant::now() + DROP_TIME;
             let max_bytes = limits.max_bytes.saturating_mul(MAX_DROPPED_FACTOR);
-            drop_bytes(&mut payload, max_bytes, Instant::now() + DROP_TIME).await;
+            body.drop_bytes(max_bytes).await;
         }
     }
     read
@@ -87,91 +91,141 @@
 
 /// Reads a body up to a limit and drops it, since closing a connection with unread bytes
 /// resets it and may lose the response.
-pub async fn discard_body(payload: Payload, limits: BodyLimits) {
-    let mut payload = payload.into_inner();
-    let deadline = Instant::now() + limits.timeout;
-    drop_bytes(&mut payload, limits.max_bytes, deadline).await;
+pub async fn discard_body(
+    req: &HttpRequest,
+    payload: Payload,
+    limits: BodyLimits,
+    service: &RequestService,
+) {
+    let mut body = Body::new(req, payload, limits, service);
+    if !matches!(body.payload, HttpPayload::None) {
+        body.drop_bytes(limits.max_bytes).await;
+        service.release_body(0);
+    }
 }
 
-async fn read_within(
-    payload: &mut HttpPayload,
-    declared: Option<usize>,
-    max_bytes: usize,
+/// The body of a request in service while it is read.
+struct Body<'a> {
+    payload: HttpPayload,
+    io: Option<&'a IoRef>,
     deadline: Instant,
-    service: &RequestService,
-) -> Result<Vec<u8>, BodyFault> {
-    if matches!(payload, HttpPayload::None) {
-        return Ok(Vec::new());
-    }
-    let mut granted = declared.unwrap_or(SHORT_BODY_BYTES.min(max_bytes));
-    let admission = service.begin_body(declared, max_bytes);
-    until_granted(admission, deadline, service).await?;
-    let mut buf = Vec::new();
-    let mut progress_at = PROGRESS_BYTES;
-    while let Some(chunk) = next_chunk(payload, deadline, service).await? {
-        let len = buf.len() + chunk.len();
-        if len > max_bytes {
-            return Err(BodyFault::TooLong);
-        }
-        if declared.is_none() && len > granted {
-            granted = max_bytes;
-            let admission = service.reserve(granted);
-            until_granted(admission, deadline, service).await?;
+    service: &'a RequestService,
+}
+
+impl<'a> Body<'a> {
+    fn new(
+        req: &'a HttpRequest,
+        payload: Payload,
+        limits: BodyLimits,
+        service: &'a RequestService,
+    ) -> Self {
+        let payload = payload.into_inner();
+        if let HttpPayload::H1(stream) = &payload {
+            stream.max_buffer_size(UNTAKEN_BYTES);
         }
-        if len >= progress_at {
-            service.progress();
-            progress_at = len + PROGRESS_BYTES;
+        Self {
+            payload,
+            io: req.io(),
+            deadline: Instant::now() + limits.timeout,
+            service,
         }
-        extend(&mut buf, &chunk, granted);
     }
-    Ok(buf)
-}
 
-/// Waits until the bytes of a body are granted.
-async fn until_granted(
-    admission: Admission,
-    deadline: Instant,
-    service: &RequestService,
-) -> Result<(), BodyFault> {
-    match admission {
-        Admission::Granted => return Ok(()),
-        Admission::TooLong => return Err(BodyFault::TooLong),
-        Admission::Wait => {}
-    }
-    while !service.signal.is_granted.get() {
-        if timeout_at(deadline, service.signal.changed.notified())
-            .await
-            .is_err()
-        {
-            return Err(BodyFault::NoBytes);
+    async fn read(
+        &mut self,
+        declared: Option<usize>,
+        max_bytes: usize,
+    ) -> Result<Vec<u8>, BodyFault> {
+        if matches!(self.payload, HttpPayload::None) {
+            return Ok(Vec::new());
         }
+        let mut granted = declared.unwrap_or(SHORT_BODY_BYTES.min(max_bytes));
+        let admission = self.service.begin_body(declared, max_bytes);
+        self.until_granted(admission).await?;
+        let mut buf = Vec::new();
+        let mut progress_at = PROGRESS_BYTES;
+        while let Some(chunk) = self.next_chunk().await? {
+            let len = buf.len() + chunk.len();
+            if len > max_bytes {
+                return Err(BodyFault::TooLong);
+            }
+            if declared.is_none() && len > granted {
+                granted = max_bytes;
+                let admission = self.service.reserve(granted);
+                self.until_granted(admission).await?;
+            }
+            if len >= progress_at {
+                self.service.progress();
+                progress_at = len + PROGRESS_BYTES;
+            }
+            extend(&mut buf, &chunk, granted);
+        }
+        Ok(buf)
     }
-    Ok(())
-}
 
-/// Waits for the next piece of a body; none at its end.
-async fn next_chunk(
-    payload: &mut HttpPayload,
-    deadline: Instant,
-    service: &RequestService,
-) -> Result<Option<Bytes>, BodyFault> {
-    loop {
-        if service.signal.is_refused.get() {
-            service.record(ClosingCause::StalledBody);
-            return Err(BodyFault::TooSlow);
+    /// Waits until the bytes of the body are granted.
+    async fn until_granted(&self, admission: Admission) -> Result<(), BodyFault> {
+        match admission {
+            Admission::Granted => return Ok(()),
+            Admission::TooLong => return Err(BodyFault::TooLong),
+            Admission::Wait => {}
         }
-        tokio::select! {
-            biased;
-            chunk = payload.recv() => {
-                return chunk.transpose().map_err(|e| BodyFault::Broken(e.to_string()));
+        let signal = &self.service.signal;
+        while !signal.is_granted.get() {
+            if timeout_at(self.deadline, signal.changed.notified())
+                .await
+                .is_err()
+            {
+                return Err(BodyFault::NoBytes);
             }
-            () = service.signal.changed.notified() => {}
-            () = sleep_until(deadline) => {
-                service.record(ClosingCause::SlowBody);
+        }
+        Ok(())
+    }
+
+    /// Waits for the next piece; none at the end of the body.
+    async fn next_chunk(&mut self) -> Result<Option<Bytes>, BodyFault> {
+        let (service, io) = (self.service, self.io);
+        loop {
+            if service.signal.is_refused.get() {
+                service.record(ClosingCause::StalledBody);
                 return Err(BodyFault::TooSlow);
             }
+            tokio::select! {
+                biased;
+                chunk = self.payload.recv() => {
+                    return chunk.transpose().map_err(|e| BodyFault::Broken(e.to_string()));
+                }
+                // The task of the connection polls this whenever bytes have arrived.
+                () = poll_fn(|_| if has_long_line(io) { Poll::Ready(()) } else { Poll::Pending }) => {
+                    service.record(ClosingCause::LongLine);
+                    return Err(BodyFault::LongLine);
+                }
+                () = service.signal.changed.notified() => {}
+                () = sleep_until(self.deadline) => {
+                    service.record(ClosingCause::SlowBody);
+                    return Err(BodyFault::TooSlow);
+                }
+            }
         }
     }
+
+    /// Reads pieces up to a limit and drops them.
+    async fn drop_bytes(&mut self, max_bytes: usize) {
+        let mut dropped = 0;
+        // A body that broke, is refused or comes too late is not read further either.
+        while let Ok(Some(chunk)) = self.next_chunk().await {
+            dropped += chunk.len();
+            if dropped > max_bytes {
+                return;
+            }
+        }
+    }
+}
+
+/// Returns whether bytes were received that are part of a line which is too long: the
+/// library reads on only while it has nothing to pass on.
+fn has_long_line(io: Option<&IoRef>) -> bool {
+    io.is_some_and(|io| io.with_read_buf(|buf| buf.len()) > MAX_LINE_BYTES)
 }
 
 /// Appends a piece; the allocation grows by doubling and never beyond what is granted.
@@ -189,23 +243,12 @@
     buf.extend_from_slice(chunk);
 }
 
-async fn drop_bytes(payload: &mut HttpPayload, max_bytes: usize, deadline: Instant) {
-    let mut dropped = 0;
-    while dropped <= max_bytes {
-        match timeout_at(deadline, payload.recv()).await {
-            Ok(Some(Ok(chunk))) => dropped += chunk.len(),
-            // It ended, broke or came too late: nothing more is read in each case.
-            _ => return,
-        }
-    }
-}
-
 fn record(fault: &BodyFault, service: &RequestService) {
     match fault {
         BodyFault::TooLong => service.record(ClosingCause::LongBody),
         BodyFault::NoBytes => service.record(ClosingCause::NoBytes),
         // Recorded where it is known which of the two it was, or no decision of ours.
-        BodyFault::TooSlow | BodyFault::Broken(_) => {}
+        BodyFault::TooSlow | BodyFault::LongLine | BodyFault::Broken(_) => {}
     }
 }
 
--- a/crates/net/src/closings.rs
+++ b/crates/net/src/closings.rs
@@ -26,6 +26,8 @@
     SlowBody,
     /// A body is longer than the limit.
     LongBody,
+    /// A line between the pieces of a chunked body is too long.
+    LongLine,
     /// A head is too long or has too many headers.
     LargeHead,
     /// A head did not arrive in time.
@@ -33,12 +35,13 @@
 }
 
 /// All causes with their names in logs and metrics.
-const CAUSES: [(ClosingCause, &str); 7] = [
+const CAUSES: [(ClosingCause, &str); 8] = [
     (ClosingCause::NoPlace, "no-place"),
     (ClosingCause::StalledBody, "stalled-body"),
     (ClosingCause::NoBytes, "no-bytes"),
     (ClosingCause::SlowBody, "slow-body"),
     (ClosingCause::LongBody, "long-body"),
+    (ClosingCause::LongLine, "long-line"),
     (ClosingCause::LargeHead, "large-head"),
     (ClosingCause::SlowHead, "slow-head"),
 ];
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -24,12 +24,12 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Longest head of a request, in bytes; half as much again as the users' sites allow.
-const MAX_HEAD_BYTES: usize = 24 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 24 * 1024;
 
 /// Size of a connection's read buffer, in bytes; most requests arrive with one read. It
 /// also bounds the pieces of a body that wait to be taken: at 6 bytes for the shortest
 /// chunk, 1,024.
-const READ_BUFFER_BYTES: usize = 6 * 1024 - 24;
+pub(crate) const READ_BUFFER_BYTES: usize = 6 * 1024 - 24;
 
 /// Unused bytes of a read buffer below which it is replaced.
 const MIN_READ_BYTES: usize = 512;
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -1,7 +1,7 @@
 //! Applies the decisions of [`Intake`] to the connections of HTTP listeners.
 
 use {
-    crate::{ClosingCause, closings::Closings},
+    crate::{ClosingCause, closings::Closings, read_bound::ReadBound},
     chestnutrun_decisions::intake::{Admission, ConnectionId, Intake, IntakeAction, IntakeLimits},
     chestnutrun_types::Now,
     indexmap::IndexMap,
@@ -138,6 +138,7 @@
             signal: Rc::default(),
         };
         self.0.connections.borrow_mut().insert(io.id(), connection);
+        io.register_filter_callbacks(ReadBound(self.clone()));
         id
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 mod link_client;
 mod link_server;
 mod not_sent;
+mod read_bound;
 mod request_fault;
 mod tls;
 
--- /dev/null
+++ b/crates/net/tests/hostile.rs
@@ -0,0 +1,158 @@
+//! Tests of listeners whose clients send lines that do not end, or many requests at once:
+//! the HTTP library bounds neither.
+
+use {
+    chestnutrun_decisions::intake::IntakeLimits,
+    chestnutrun_net::{
+        BodyFault, BodyLimits, HttpLimits, SharedIntake, collect_body, http_config,
+        serve_http_within,
+    },
+    ntex::{
+        http::StatusCode,
+        rt::{DefaultRuntime, System},
+        web::{
+            App, HttpRequest, HttpResponse, to,
+            types::{Payload, State},
+        },
+    },
+    rstest::rstest,
+    std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        time::timeout,
+    },
+};
+
+const LIMITS: HttpLimits = HttpLimits {
+    head_timeout: Duration::from_secs(5),
+    keep_alive: Duration::from_secs(5),
+    max_headers: 16,
+};
+
+const BODY_LIMITS: BodyLimits = BodyLimits {
+    max_bytes: 100_000,
+    timeout: Duration::from_secs(20),
+};
+
+const PLACES: usize = 2;
+
+const CHUNKED: &[u8] = b"POST /body HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Longest time for which a test waits for what has to come.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Paths of the requests in the order in which they were served.
+type Served = Rc<RefCell<Vec<String>>>;
+
+#[derive(Clone)]
+struct Handle {
+    intake: SharedIntake,
+    served: Served,
+}
+
+async fn answer(req: HttpRequest, payload: Payload, handle: State<Handle>) -> HttpResponse {
+    handle.served.borrow_mut().push(req.path().to_owned());
+    match req.path() {
+        "/body" => read(&req, payload, &handle.intake).await,
+        "/unread" => {
+            tokio::time::sleep(PATIENCE).await;
+            HttpResponse::Ok().finish()
+        }
+        _ => {
+            handle.intake.begin(req.io()).close();
+            HttpResponse::Ok().finish()
+        }
+    }
+}
+
+async fn read(req: &HttpRequest, payload: Payload, intake: &SharedIntake) -> HttpResponse {
+    let service = intake.begin(req.io());
+    let body = collect_body(req, payload, BODY_LIMITS, &service).await;
+    service.close();
+    let status = match body {
+        Ok(_) => StatusCode::OK,
+        Err(BodyFault::LongLine) => StatusCode::BAD_REQUEST,
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    HttpResponse::build(status).force_close().finish()
+}
+
+/// Runs a test against a listener with few places.
+fn with_listener<F: Future<Output = ()>>(test: impl FnOnce(SocketAddr, Served) -> F + 'static) {
+    System::new("test", DefaultRuntime).block_on(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let to_address = listener.local_addr().unwrap();
+        let intake = SharedIntake::new(IntakeLimits {
+            connections: PLACES,
+            bytes: 1 << 20,
+        });
+        let served = Served::default();
+        let handle = Handle {
+            intake: intake.clone(),
+            served: served.clone(),
+        };
+        let app = App::new().state(handle).default_service(to(answer));
+        let cfg = http_config("test", LIMITS);
+        ntex::rt::spawn(serve_http_within(listener, app, cfg, intake));
+        test(to_address, served).await;
+    });
+}
+
+async fn connect(to_address: SocketAddr) -> TcpStream {
+    TcpStream::connect(to_address).await.unwrap()
+}
+
+/// Reads until the connection ends, or for as long as a test waits.
+async fn read_all(connection: &mut TcpStream) -> String {
+    let mut buf = Vec::new();
+    // What came before a reset or the end of the time counts.
+    let _ = timeout(PATIENCE, connection.read_to_end(&mut buf)).await;
+    String::from_utf8_lossy(&buf).into_owned()
+}
+
+#[rstest]
+#[case::extension(b"1;", 400)]
+#[case::long_but_legal(b"", 200)]
+fn a_chunk_with_a_line_that_is_too_long_is_answered(#[case] chunk: &[u8], #[case] status: u16) {
+    let chunk = chunk.to_vec();
+    with_listener(async move |to_address, _| {
+        let mut connection = connect(to_address).await;
+        connection.write_all(CHUNKED).await.unwrap();
+        let line = if chunk.is_empty() {
+            // An extension as long as the longest head of the users' sites.
+            [b"1;", vec![b'e'; 16_384].as_slice(), b"\r\nx\r\n0\r\n\r\n"].concat()
+        } else {
+            [&chunk[..], &vec![b'e'; 28 * 1_024]].concat()
+        };
+        connection.write_all(&line).await.unwrap();
+        let answer = read_all(&mut connection).await;
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status}")),
+            "{answer}"
+        );
+    });
+}
+
+/// Guards against a handler that does not ask for the body, while the library collects a
+/// line that does not end.
+#[rstest]
+fn a_line_without_an_end_closes_a_connection_whose_body_nobody_reads() {
+    with_listener(async move |to_address, _| {
+        let mut connection = connect(to_address).await;
+        let head = String::from_utf8_lossy(CHUNKED).replace("/body", "/unread");
+        connection.write_all(head.as_bytes()).await.unwrap();
+        connection.write_all(b"1;").await.unwrap();
+        let piece = vec![b'e'; 1 << 20];
+        let writing = async {
+            // More than the kernel keeps on both sides.
+            for _ in 0..64 {
+                connection.write_all(&piece).await?;
+            }
+            std::io::Result::Ok(())
+        };
+        let written = timeout(PATIENCE, writing).await;
+        let is_closed = matches!(written, Ok(Err(_)));
+        assert!(is_closed, "the process took the whole line");
+    });
+}
