Let a body that is dropped yield its place

Change: a body that is dropped counts as one that arrives. Evidence: two tests of the decisions; neither had an input before.

--- a/crates/decisions/src/intake/intake_machine.rs
+++ b/crates/decisions/src/intake/intake_machine.rs
@@ -60,6 +60,13 @@
     reserved: usize,
 }
 
+impl Connection {
+    /// Returns whether bytes are reserved for a body that is read.
+    fn holds_body(&self) -> bool {
+        self.stage == Stage::Body && self.reserved > 0
+    }
+}
+
 /// The connections of a process and the bytes that are held for them.
 #[derive(Clone, Debug)]
 pub struct Intake {
@@ -168,6 +175,15 @@
         self.reserve(id, total, now)
     }
 
+    /// Begins to read a body that is dropped, so that no bytes are reserved for it. Its
+    /// connection yields like that of any other body.
+    pub fn begin_discard(&mut self, id: ConnectionId, now: Instant) {
+        let stage = self.connections.get(&id).map(|c| c.stage);
+        if stage.is_some_and(|stage| stage != Stage::Ending) {
+            self.set_stage(id, Stage::Body, now);
+        }
+    }
+
     /// Raises the reservation of a connection to `total` bytes.
     pub fn reserve(&mut self, id: ConnectionId, total: usize, now: Instant) -> Admission {
         if total > self.limits.ceiling(total) {
@@ -243,7 +259,7 @@
         // A body that was refused frees its bytes soon, and perhaps enough of them.
         if !self.waiting.is_empty()
             && !self.is_freeing()
-            && let Some(id) = self.longest_stalled(now, |c| c.stage == Stage::Body)
+            && let Some(id) = self.longest_stalled(now, Connection::holds_body)
         {
             self.set_stage(id, Stage::Ending, now);
             actions.push(IntakeAction::RefuseStalled(id));
@@ -258,7 +274,7 @@
             return None;
         }
         let bodies = self.connections.values();
-        let bodies = bodies.filter(|c| c.stage == Stage::Body);
+        let bodies = bodies.filter(|c| c.holds_body());
         bodies.map(|c| c.progress_at + STALL_LIMIT).min()
     }
 
--- a/crates/decisions/tests/intake.rs
+++ b/crates/decisions/tests/intake.rs
@@ -113,6 +113,38 @@
     assert_eq!(intake.make_place(now + Duration::from_mins(1)), None);
 }
 
+#[rstest]
+fn a_body_that_is_dropped_yields_its_place() {
+    let mut now = Instant::now();
+    let mut intake = Intake::new(LIMITS);
+    for id in 0..LIMITS.connections {
+        intake.open(id, now);
+        intake.begin(id);
+        intake.begin_discard(id, now);
+    }
+    assert_eq!(intake.make_place(now), None, "it may still arrive");
+    now += Duration::from_secs(1);
+    assert_eq!(intake.make_place(now), Some(IntakeAction::RefuseStalled(0)));
+}
+
+#[rstest]
+fn a_body_that_is_dropped_is_not_refused_for_bytes_that_it_does_not_hold() {
+    let mut now = Instant::now();
+    let mut intake = Intake::new(LIMITS);
+    for id in 0..3 {
+        intake.open(id, now);
+        intake.begin(id);
+    }
+    intake.begin_discard(0, now);
+    now += STEP;
+    let first = intake.begin_body(1, Some(LONGEST), LONGEST, now);
+    assert_eq!(first, Admission::Granted);
+    let second = intake.begin_body(2, Some(LONGEST), LONGEST, now);
+    assert_eq!(second, Admission::Wait);
+    now += Duration::from_secs(1);
+    assert_eq!(intake.poll(now), [IntakeAction::RefuseStalled(1)]);
+}
+
 proptest! {
     #[test]
     fn an_ordinary_request_after_a_crowd_gets_its_bytes(
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -211,6 +211,7 @@
 
     /// Reads pieces up to a limit and drops them.
     async fn drop_bytes(&mut self, max_bytes: usize) {
+        self.service.begin_discard();
         let mut dropped = 0;
         // A body that broke, is refused or comes too late is not read further either.
         while let Ok(Some(chunk)) = self.next_chunk().await {
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -259,6 +259,13 @@
         self.checked(admission)
     }
 
+    /// Marks the request as one whose body is read and dropped, which needs no bytes.
+    pub(crate) fn begin_discard(&self) {
+        let now = Now::read().instant;
+        let mut machine = self.intake.0.machine.borrow_mut();
+        machine.begin_discard(self.id, now);
+    }
+
     pub(crate) fn reserve(&self, total: usize) -> Admission {
         let now = Now::read().instant;
         let admission = self
