Close a connection behind the response that says so

Cause: a response carries `Connection: close` while a new connection waits, but the library serves what came behind that request all the same, so that a connection with requests in store kept its place; one that was told to end and whose client reads nothing was not closed either. Only the platform's callers had the header at all. The rule is a decision of the intake now, no longer of the handlers.

--- a/crates/decisions/src/intake/intake_machine.rs
+++ b/crates/decisions/src/intake/intake_machine.rs
@@ -75,6 +75,8 @@
     /// Connections that wait for bytes, in the order of arrival.
     waiting: VecDeque<ConnectionId>,
     reserved: usize,
+    /// New connections that wait for a place.
+    awaited_places: usize,
 }
 
 impl Intake {
@@ -86,6 +88,7 @@
             connections: IndexMap::new(),
             waiting: VecDeque::new(),
             reserved: 0,
+            awaited_places: 0,
         }
     }
 
@@ -113,18 +116,40 @@
         self.connections.len() < self.limits.connections
     }
 
+    /// Records that a new connection waits for a place. Until it has one, each connection
+    /// whose request ends yields its place, however busy it is.
+    pub fn await_place(&mut self) {
+        self.awaited_places += 1;
+    }
+
+    /// Records that a new connection no longer waits for a place.
+    pub fn stop_awaiting(&mut self) {
+        self.awaited_places = self.awaited_places.saturating_sub(1);
+    }
+
     /// Chooses the connection that yields its place to a new one: the one that made no
     /// progress for longest. None if all places are in service or made progress just now.
     pub fn make_place(&mut self, now: Instant) -> Option<IntakeAction> {
-        let is_idle = |c: &Connection| matches!(c.stage, Stage::Open | Stage::Body);
-        let id = self.longest_stalled(now, is_idle)?;
+        let yields = |c: &Connection| matches!(c.stage, Stage::Open | Stage::Body | Stage::Ending);
+        let id = self.longest_stalled(now, yields)?;
         let connection = self.connections.get_mut(&id)?;
-        if connection.stage == Stage::Body {
-            connection.stage = Stage::Ending;
-            return Some(IntakeAction::RefuseStalled(id));
+        let stage = std::mem::replace(&mut connection.stage, Stage::Ending);
+        connection.progress_at = now;
+        Some(match stage {
+            Stage::Body => IntakeAction::RefuseStalled(id),
+            // A response that nobody reads keeps a connection open that was told to end.
+            _ => IntakeAction::Close(id),
+        })
+    }
+
+    /// Returns whether a connection is closed behind the response to its request, since a
+    /// new connection waits for a place.
+    pub fn yields_after_response(&mut self, id: ConnectionId, now: Instant) -> bool {
+        if self.awaited_places == 0 {
+            return false;
         }
-        connection.stage = Stage::Ending;
-        Some(IntakeAction::Close(id))
+        self.set_stage(id, Stage::Ending, now);
+        true
     }
 
     /// Adds a connection.
--- a/crates/decisions/tests/intake.rs
+++ b/crates/decisions/tests/intake.rs
@@ -145,7 +145,82 @@
     assert_eq!(intake.poll(now), [IntakeAction::RefuseStalled(1)]);
 }
 
+#[rstest]
+fn a_response_that_nobody_reads_does_not_keep_a_place() {
+    let mut now = Instant::now();
+    let mut intake = Intake::new(LIMITS);
+    for id in 0..LIMITS.connections {
+        intake.open(id, now);
+        intake.begin(id);
+    }
+    intake.await_place();
+    for id in 0..LIMITS.connections {
+        intake.finish(id, now);
+        assert!(intake.yields_after_response(id, now));
+    }
+    now += Duration::from_secs(1);
+    assert_eq!(intake.make_place(now), Some(IntakeAction::Close(0)));
+    assert_eq!(intake.make_place(now), Some(IntakeAction::Close(1)));
+}
+
+/// A client that sends the next request as soon as it has a response, and whose requests
+/// take so many steps.
+#[derive(Clone, Copy, Debug)]
+struct BusyClient {
+    id: ConnectionId,
+    steps: usize,
+    left: usize,
+}
+
+/// Lets time pass for busy clients; those whose connections yield are gone.
+fn serve(intake: &mut Intake, clients: &mut Vec<BusyClient>, now: Instant) {
+    clients.retain_mut(|client| {
+        client.left -= 1;
+        if client.left > 0 {
+            return true;
+        }
+        intake.finish(client.id, now);
+        if intake.yields_after_response(client.id, now) {
+            intake.close(client.id);
+            return false;
+        }
+        intake.begin(client.id);
+        client.left = client.steps;
+        true
+    });
+}
+
 proptest! {
+    #[test]
+    fn nobody_waits_for_ever_behind_connections_that_keep_busy(
+        steps in prop::collection::vec(1_usize..20, 1..60),
+    ) {
+        let longest = steps.iter().copied().max().unwrap_or(1);
+        let mut now = Instant::now();
+        let mut intake = Intake::new(LIMITS);
+        let mut clients: Vec<BusyClient> = Vec::new();
+        // They arrive one after another, and each of them stays as long as it may.
+        for (id, steps) in steps.into_iter().enumerate() {
+            if !intake.has_place() {
+                intake.await_place();
+                let mut waited = 0;
+                while !intake.has_place() {
+                    now += STEP;
+                    waited += 1;
+                    let action = intake.make_place(now);
+                    carry_out(&mut intake, action.into_iter().collect(), now);
+                    serve(&mut intake, &mut clients, now);
+                    prop_assert!(waited <= longest, "a place is free after one request");
+                }
+                intake.stop_awaiting();
+            }
+            intake.open(id, now);
+            intake.begin(id);
+            clients.push(BusyClient { id, steps, left: steps });
+            prop_assert!(intake.connections() <= LIMITS.connections);
+        }
+    }
+
     #[test]
     fn an_ordinary_request_after_a_crowd_gets_its_bytes(
         steps in prop::collection::vec((0_usize..5, 0_usize..12, 1_usize..300_000), 1..200),
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -8,15 +8,20 @@
     ntex::{
         SharedCfg,
         connect::rustls::TlsAcceptor,
-        http::{HttpService, HttpServiceConfig, Request, error::DispatchError, h1::Control},
+        http::{
+            ConnectionType, HttpService, HttpServiceConfig, Request, error::DispatchError,
+            h1::Control,
+        },
         io::{Filter, Io, IoConfig},
-        service::{IntoServiceFactory, ServiceFactory, fn_service},
+        service::{
+            IntoServiceFactory, ServiceFactory, apply_fn_factory, dev::ApplyCtx, fn_service,
+        },
         time::Seconds,
         util::BytePageSize,
         web::{WebResponse, error::ErrorContainer},
     },
     rustls::ServerConfig,
-    std::{fmt, io, sync::Arc, time::Duration},
+    std::{fmt, future::pending, io, sync::Arc, time::Duration},
     tokio::net::TcpListener,
 };
 
@@ -149,6 +154,18 @@
         + 'static,
     E: ErrorContainer + 'static,
 {
+    let places = intake.clone();
+    let app = apply_fn_factory(app, async move |req: Request, app: &ApplyCtx<'_, _>| {
+        if places.is_yielding(req.io()) {
+            return close_unserved(&req).await;
+        }
+        let mut res: WebResponse = app.call(req).await?;
+        if places.yields_after_response(res.request().io()) {
+            let head = res.response_mut().head_mut();
+            head.set_connection_type(ConnectionType::Close);
+        }
+        Ok::<_, E>(res)
+    });
     let on_control = move |message: Control<F, E>| {
         let answer = answer_control(message, fault_response, &intake);
         async move { Ok::<_, io::Error>(answer) }
@@ -156,6 +173,15 @@
     HttpService::new(app).h1_control(fn_service(on_control))
 }
 
+/// Closes a connection once its responses have left, and never returns: the library would
+/// serve requests that came behind the one whose response said that the connection closes.
+async fn close_unserved<T>(req: &Request) -> T {
+    if let Some(io) = req.io() {
+        io.close();
+    }
+    pending().await
+}
+
 /// Accepts connections and serves each in a task of its own.
 async fn accept<S>(listener: TcpListener, factory: S, cfg: SharedCfg, intake: SharedIntake)
 where
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -35,8 +35,8 @@
     connections: RefCell<IndexMap<Id, Connection>>,
     last_connection: Cell<ConnectionId>,
     is_check_scheduled: Cell<bool>,
-    /// Listeners with a new connection that waits for a place.
-    awaited_places: Cell<usize>,
+    /// Connections that close behind a response.
+    yielding: Cell<usize>,
     place_freed: Notify,
     closings: Closings,
 }
@@ -45,6 +45,8 @@
     id: ConnectionId,
     io: IoRef,
     signal: Rc<BodySignal>,
+    /// Whether it closes behind a response.
+    is_yielding: Cell<bool>,
 }
 
 /// What the machine decided on the body of a connection.
@@ -81,7 +83,7 @@
             connections: RefCell::default(),
             last_connection: Cell::new(0),
             is_check_scheduled: Cell::new(false),
-            awaited_places: Cell::new(0),
+            yielding: Cell::new(0),
             place_freed: Notify::new(),
             closings: Closings::default(),
         }))
@@ -113,7 +115,7 @@
         if self.0.machine.borrow().has_place() {
             return;
         }
-        self.0.awaited_places.update(|listeners| listeners + 1);
+        self.0.machine.borrow_mut().await_place();
         while !self.0.machine.borrow().has_place() {
             let action = self.0.machine.borrow_mut().make_place(Now::read().instant);
             if let Some(action) = action {
@@ -123,7 +125,7 @@
             // Whether a place was freed is read again in either case.
             let _ = timeout(PLACE_INTERVAL, self.0.place_freed.notified()).await;
         }
-        self.0.awaited_places.update(|listeners| listeners - 1);
+        self.0.machine.borrow_mut().stop_awaiting();
     }
 
     /// Adds a connection and returns its number.
@@ -136,6 +138,7 @@
             id,
             io: io.clone(),
             signal: Rc::default(),
+            is_yielding: Cell::new(false),
         };
         self.0.connections.borrow_mut().insert(io.id(), connection);
         io.register_filter_callbacks(ReadBound(self.clone()));
@@ -145,7 +148,9 @@
     /// Removes a connection that ended. The library may have given its id to a new one.
     pub(crate) fn close(&self, id: ConnectionId, io: Id) {
         let mut connections = self.0.connections.borrow_mut();
-        if connections.get(&io).is_some_and(|c| c.id == id) {
+        if let Some(connection) = connections.get(&io).filter(|c| c.id == id) {
+            let yielded = usize::from(connection.is_yielding.get());
+            self.0.yielding.update(|yielding| yielding - yielded);
             connections.swap_remove(&io);
         }
         drop(connections);
@@ -171,6 +176,36 @@
         }
     }
 
+    /// Returns whether a connection is closed behind a response, since a new one waits for
+    /// its place.
+    pub(crate) fn yields_after_response(&self, io: Option<&IoRef>) -> bool {
+        let connections = self.0.connections.borrow();
+        let connection = io.and_then(|io| connections.get(&io.id()));
+        let Some(connection) = connection.filter(|c| !c.is_yielding.get()) else {
+            return false;
+        };
+        let now = Now::read().instant;
+        let mut machine = self.0.machine.borrow_mut();
+        let yields = machine.yields_after_response(connection.id, now);
+        if yields {
+            connection.is_yielding.set(true);
+            self.0.yielding.update(|yielding| yielding + 1);
+            self.record(ClosingCause::NoPlace);
+        }
+        yields
+    }
+
+    /// Returns whether a connection closes behind a response that was sent, so that
+    /// nothing which arrives on it is read any more.
+    pub(crate) fn is_yielding(&self, io: Option<&IoRef>) -> bool {
+        if self.0.yielding.get() == 0 {
+            return false;
+        }
+        let connections = self.0.connections.borrow();
+        let connection = io.and_then(|io| connections.get(&io.id()));
+        connection.is_some_and(|connection| connection.is_yielding.get())
+    }
+
     /// Carries out what is due, and schedules the next check while connections wait.
     fn check(&self) {
         if !self.0.machine.borrow().has_waiting() {
@@ -238,13 +273,6 @@
         self.intake.check();
     }
 
-    /// Returns whether the response should close its connection, because a new
-    /// connection waits for a place.
-    #[must_use]
-    pub fn is_place_awaited(&self) -> bool {
-        self.intake.0.awaited_places.get() > 0
-    }
-
     /// Frees what is reserved for the body, but for `kept` bytes.
     pub fn release_body(&self, kept: usize) {
         self.intake.0.machine.borrow_mut().end_body(self.id, kept);
--- a/crates/net/tests/hostile.rs
+++ b/crates/net/tests/hostile.rs
@@ -103,6 +103,10 @@
     TcpStream::connect(to_address).await.unwrap()
 }
 
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n")
+}
+
 /// Reads until the connection ends, or for as long as a test waits.
 async fn read_all(connection: &mut TcpStream) -> String {
     let mut buf = Vec::new();
@@ -156,3 +160,36 @@
         assert!(is_closed, "the process took the whole line");
     });
 }
+
+/// A response that says that the connection closes has to be the last one.
+#[rstest]
+fn a_connection_with_further_requests_yields_to_a_new_one() {
+    with_listener(async move |to_address, _| {
+        let mut busy = Vec::new();
+        for _ in 0..PLACES {
+            let mut connection = connect(to_address).await;
+            connection.write_all(get("/busy").as_bytes()).await.unwrap();
+            busy.push(connection);
+        }
+        let mut last = connect(to_address).await;
+        last.write_all(get("/last").as_bytes()).await.unwrap();
+        let keep_busy = async {
+            loop {
+                for connection in &mut busy {
+                    // A connection that was closed refuses the request.
+                    let _ = connection
+                        .write_all(get("/busy").repeat(20).as_bytes())
+                        .await;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let mut buf = [0; 12];
+        tokio::select! {
+            () = keep_busy => {}
+            read = timeout(PATIENCE, last.read_exact(&mut buf)) => {
+                assert!(matches!(read, Ok(Ok(_))), "the last client got no place");
+            }
+        }
+    });
+}
