Serve others between the requests that a client sends at once

Cause: the library serves all requests that arrived with one read, some 70 of them, before it looks at another connection or link. Change: a request with another one behind it gives way to whatever has arrived on other sockets, before its response is sent. Evidence: net/tests/hostile.rs: a request beside 50 that came at once was served last of all before, three runs of three.

--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -12,7 +12,7 @@
             ConnectionType, HttpService, HttpServiceConfig, Request, error::DispatchError,
             h1::Control,
         },
-        io::{Filter, Io, IoConfig},
+        io::{Filter, Io, IoConfig, IoRef},
         service::{
             IntoServiceFactory, ServiceFactory, apply_fn_factory, dev::ApplyCtx, fn_service,
         },
@@ -22,7 +22,7 @@
     },
     rustls::ServerConfig,
     std::{fmt, future::pending, io, sync::Arc, time::Duration},
-    tokio::net::TcpListener,
+    tokio::{net::TcpListener, task::yield_now},
 };
 
 /// Delay before the next accept after a connection could not be accepted.
@@ -160,6 +160,10 @@
             return close_unserved(&req).await;
         }
         let mut res: WebResponse = app.call(req).await?;
+        if has_next_request(res.request().io()) {
+            // Behind whatever has arrived on other connections and links meanwhile.
+            yield_now().await;
+        }
         if places.yields_after_response(res.request().io()) {
             let head = res.response_mut().head_mut();
             head.set_connection_type(ConnectionType::Close);
@@ -173,6 +177,11 @@
     HttpService::new(app).h1_control(fn_service(on_control))
 }
 
+/// Returns whether a client has sent more behind a request whose response was not sent yet.
+fn has_next_request(io: Option<&IoRef>) -> bool {
+    io.is_some_and(|io| io.with_read_buf(|buf| !buf.is_empty()))
+}
+
 /// Closes a connection once its responses have left, and never returns: the library would
 /// serve requests that came behind the one whose response said that the connection closes.
 async fn close_unserved<T>(req: &Request) -> T {
--- a/crates/net/tests/hostile.rs
+++ b/crates/net/tests/hostile.rs
@@ -39,6 +39,9 @@
 
 const CHUNKED: &[u8] = b"POST /body HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// Requests that a client sends at once.
+const PIPELINED: usize = 50;
+
 /// Longest time for which a test waits for what has to come.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -161,6 +164,22 @@
     });
 }
 
+/// The library serves all requests that a client has sent before it looks at others.
+#[rstest]
+fn requests_that_were_sent_at_once_do_not_go_before_those_of_others() {
+    with_listener(async move |to_address, served| {
+        let (mut first, mut second) = (connect(to_address).await, connect(to_address).await);
+        let at_once = get("/first").repeat(PIPELINED);
+        first.write_all(at_once.as_bytes()).await.unwrap();
+        second.write_all(get("/second").as_bytes()).await.unwrap();
+        let mut buf = [0; 64];
+        second.read_exact(&mut buf[..12]).await.unwrap();
+        let before = served.borrow().iter().position(|path| path == "/second");
+        let before = before.expect("the second client is served");
+        assert!(before < PIPELINED, "it was served after all others");
+    });
+}
+
 /// A response that says that the connection closes has to be the last one.
 #[rstest]
 fn a_connection_with_further_requests_yields_to_a_new_one() {
