Charge an accepted job with what it takes

Cause: a job could lower what was reserved for its body, not raise it, so the budget of bytes let in as many jobs as there were connections, 88 KB each, and each decision looked at all of their tasks. Change: the reservation becomes what the job takes, with its tasks. One that would have to wait is refused at once, since nothing is known of when others end.

--- a/crates/decisions/src/intake/intake_machine.rs
+++ b/crates/decisions/src/intake/intake_machine.rs
@@ -230,20 +230,25 @@
         }
     }
 
-    /// Ends a body, or the wait for its bytes; at most `kept` bytes stay reserved until
-    /// the request is finished.
-    pub fn end_body(&mut self, id: ConnectionId, kept: usize) {
+    /// Ends a body, or the wait for its bytes, and frees what is reserved for it.
+    pub fn end_body(&mut self, id: ConnectionId) {
         self.stop_waiting(id);
         if let Some(connection) = self.connections.get_mut(&id) {
-            let freed = connection.reserved.saturating_sub(kept);
-            connection.reserved -= freed;
-            self.reserved -= freed;
+            self.reserved -= std::mem::take(&mut connection.reserved);
             if connection.stage != Stage::Ending {
                 connection.stage = Stage::Serving;
             }
         }
     }
 
+    /// Ends a body, and reserves the bytes of what was made of it in its place until the
+    /// request is finished. Returns false, and frees all, if the budget does not hold
+    /// them.
+    pub fn hold(&mut self, id: ConnectionId, bytes: usize) -> bool {
+        self.end_body(id);
+        self.grant(id, bytes)
+    }
+
     /// Removes a connection that ended.
     pub fn close(&mut self, id: ConnectionId) {
         self.stop_waiting(id);
--- a/crates/decisions/src/placement/held_job.rs
+++ b/crates/decisions/src/placement/held_job.rs
@@ -236,6 +236,19 @@
     }
 }
 
+/// Returns the memory that a job takes while an entry holds it, in bytes.
+#[must_use]
+pub fn held_bytes(job: &BestEffortJob) -> usize {
+    let steps = job.steps.iter().map(|step| {
+        let labels = [&step.requires, &step.rack];
+        let labels = labels.into_iter().flatten().map(|label| label.len());
+        let after = 2 * size_of_val(step.after.as_slice());
+        let tasks = usize::from(step.tasks) * size_of::<HeldTask>();
+        size_of::<StepSpec>() + size_of::<HeldStep>() + after + labels.sum::<usize>() + tasks
+    });
+    size_of::<HeldJob>() + job.payload.len() + steps.sum::<usize>()
+}
+
 /// The tasks of one step, and the steps that it waits for.
 #[derive(Debug)]
 struct HeldStep {
--- a/crates/decisions/src/placement/mod.rs
+++ b/crates/decisions/src/placement/mod.rs
@@ -23,5 +23,6 @@
 pub use {
     cancelled_jobs::CancelledJobs,
     dispatcher::Dispatcher,
+    held_job::held_bytes,
     messages::{CallerId, DispatchAction, DispatchInput, JobOutcome, RefusalReason, Submission},
 };
--- a/crates/decisions/tests/intake.rs
+++ b/crates/decisions/tests/intake.rs
@@ -145,6 +145,24 @@
     assert_eq!(intake.poll(now), [IntakeAction::RefuseStalled(1)]);
 }
 
+#[rstest]
+fn a_job_is_charged_with_more_than_its_body_until_it_ends() {
+    let now = Instant::now();
+    let mut intake = Intake::new(LIMITS);
+    for id in 0..=4 {
+        intake.open(id, now);
+        intake.begin(id);
+        let body = intake.begin_body(id, Some(ORDINARY), LONGEST, now);
+        assert_eq!(body, Admission::Granted);
+    }
+    let job = 90 * ORDINARY;
+    let held: Vec<bool> = (0..=4).map(|id| intake.hold(id, job)).collect();
+    assert_eq!(held, [true, true, true, false, false]);
+    assert_eq!(intake.reserved(), 3 * job, "what is refused holds nothing");
+    intake.finish(0, now);
+    assert!(intake.hold(4, job));
+}
+
 #[rstest]
 fn a_response_that_nobody_reads_does_not_keep_a_place() {
     let mut now = Instant::now();
--- a/crates/entry/src/callers/submission.rs
+++ b/crates/entry/src/callers/submission.rs
@@ -1,7 +1,11 @@
 //! Reads a submission from an HTTP request.
 
 use {
-    crate::{job_body::JobBody, problem::Problem, request_body::read_body},
+    crate::{
+        job_body::JobBody,
+        problem::Problem,
+        request_body::{no_memory, read_body},
+    },
     chestnutrun_net::RequestService,
     chestnutrun_settings::RequestLimits,
     chestnutrun_types::{JobError, JobRef, JobSpec, Submit},
@@ -52,8 +56,17 @@
         may_be_older,
         wants_receipt: false,
     };
-    service.release_body(buf.len());
-    Ok(submit)
+    if service.hold(held_bytes(&submit, buf.len())) {
+        Ok(submit)
+    } else {
+        Err(no_memory("there is no memory for the job at the moment"))
+    }
+}
+
+/// Returns the memory that a job takes while its caller waits, in bytes, from the length of
+/// its body.
+fn held_bytes(submit: &Submit, body: usize) -> usize {
+    body + size_of_val(submit.spec.tasks.as_slice())
 }
 
 /// Parses a JSON body; a problem names the line and column of the error.
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -52,6 +52,15 @@
     res
 }
 
+/// Returns the problem of a submission that was not accepted for want of memory.
+pub(crate) fn no_memory(detail: impl Into<String>) -> Problem {
+    Problem::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no-memory-for-body",
+        detail,
+    )
+}
+
 fn body_problem(fault: &BodyFault, limits: &RequestLimits) -> Problem {
     match fault {
         BodyFault::TooLong => Problem::new(
@@ -64,11 +73,7 @@
             "body-too-slow",
             fault.to_string(),
         ),
-        BodyFault::NoBytes => Problem::new(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no-memory-for-body",
-            fault.to_string(),
-        ),
+        BodyFault::NoBytes => no_memory(fault.to_string()),
         BodyFault::LongLine => Problem::new(
             StatusCode::BAD_REQUEST,
             "chunk-line-too-long",
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -78,7 +78,7 @@
     let mut body = Body::new(req, payload, limits, service);
     let read = body.read(content_length(req), limits.max_bytes).await;
     if let Err(fault) = &read {
-        service.release_body(0);
+        service.release_body();
         record(fault, service);
         if matches!(fault, BodyFault::TooLong | BodyFault::NoBytes) {
             body.deadline = Instant::now() + DROP_TIME;
@@ -100,7 +100,7 @@
     let mut body = Body::new(req, payload, limits, service);
     if !matches!(body.payload, HttpPayload::None) {
         body.drop_bytes(limits.max_bytes).await;
-        service.release_body(0);
+        service.release_body();
     }
 }
 
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -273,9 +273,22 @@
         self.intake.check();
     }
 
-    /// Frees what is reserved for the body, but for `kept` bytes.
-    pub fn release_body(&self, kept: usize) {
-        self.intake.0.machine.borrow_mut().end_body(self.id, kept);
+    /// Frees what is reserved for the body, and reserves the bytes of what was made of it
+    /// until the service is closed. Returns false if there is no memory for them at the
+    /// moment: the request has to be refused.
+    #[must_use]
+    pub fn hold(&self, bytes: usize) -> bool {
+        let is_held = self.intake.0.machine.borrow_mut().hold(self.id, bytes);
+        if !is_held {
+            self.record(ClosingCause::NoBytes);
+        }
+        self.intake.check();
+        is_held
+    }
+
+    /// Frees what is reserved for the body.
+    pub(crate) fn release_body(&self) {
+        self.intake.0.machine.borrow_mut().end_body(self.id);
         self.intake.check();
     }
 
