Derive the own path's limits from its machine

Cause: every listener had the limits of 512 MB and 8,192 descriptors, whatever the machine has, and no setting changed it. Change: settings `machine.memory` and `machine.descriptors`; where they are not set, the memory of the machine and the process's own limit are read at start. An entry whose longest body does not fit says so and does not start. Five eighths of the sockets are for callers and one eighth for each listener with few peers; what the platform keeps for files is taken off in its own folder. On the platform, 4,100 descriptors with 160 MB give callers 1,280 connections as before, by memory; 500 with 64 MB give 187 in place of 225.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -8,10 +8,14 @@
         links::Links,
         operators,
     },
-    chestnutrun_decisions::agent::{
-        AgentAction, AgentConf as MachineConf, AgentInput, AgentMachine, AgentMessage, RunOutcome,
+    chestnutrun_decisions::{
+        agent::{
+            AgentAction, AgentConf as MachineConf, AgentInput, AgentMachine, AgentMessage,
+            RunOutcome,
+        },
+        intake::IntakeLimits,
     },
-    chestnutrun_net::{LinkEvent, LinkId},
+    chestnutrun_net::{LinkEvent, LinkId, SharedIntake},
     chestnutrun_observe::{EventKind, Metrics, Timeline, flush_logs, start_logs},
     chestnutrun_protocol::{Hello, Message},
     chestnutrun_settings::{AgentConf, load},
@@ -78,7 +82,8 @@
     let endpoint = HttpEndpoint::new(conf.endpoint_address, conf.connections).await?;
     let (tx, rx) = channel(MAX_QUEUED_EVENTS);
     let (link_tx, link_rx) = channel(MAX_QUEUED_EVENTS);
-    ntex::rt::spawn(operators::serve(listener, tx.clone()));
+    let intake = SharedIntake::new(IntakeLimits::of_few(conf.machine.sockets()));
+    ntex::rt::spawn(operators::serve(listener, tx.clone(), intake));
     let hello = agent_hello(&conf);
     let links = Links::open(
         site_token.trim().into(),
--- a/crates/agent/src/operators.rs
+++ b/crates/agent/src/operators.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::event::{Event, Page},
-    chestnutrun_net::{HttpLimits, http_config, serve_http},
+    chestnutrun_net::{HttpLimits, SharedIntake, http_config, serve_http_within},
     ntex::{
         http::StatusCode,
         web::{self, App, HttpResponse, types::State},
@@ -22,7 +22,7 @@
 };
 
 /// Serves the operators' pages until the process ends.
-pub(crate) async fn serve(listener: TcpListener, tx: Sender<Event>) {
+pub(crate) async fn serve(listener: TcpListener, tx: Sender<Event>, intake: SharedIntake) {
     let page = |page: Page| {
         web::get().to(move |tx: State<Sender<Event>>| async move { respond(&tx, page).await })
     };
@@ -33,7 +33,7 @@
         .route("/metrics", page(Page::Metrics))
         .route("/status", page(Page::Status))
         .route("/timeline", page(Page::Timeline));
-    serve_http(listener, app, http_config("operators", LIMITS)).await;
+    serve_http_within(listener, app, http_config("operators", LIMITS), intake).await;
 }
 
 async fn respond(tx: &Sender<Event>, page: Page) -> HttpResponse {
--- a/crates/bench/src/crowd/mod.rs
+++ b/crates/bench/src/crowd/mod.rs
@@ -2,12 +2,14 @@
 
 mod client_requests;
 mod crowd_clients;
+mod own_requests;
 mod script;
 mod shape;
 
 pub use {
     client_requests::ClientRequests,
     crowd_clients::Crowd,
+    own_requests::OwnRequests,
     script::{OWN_ID, Script},
     shape::{Shape, UnknownShape},
 };
--- a/crates/bench/src/site/launch.rs
+++ b/crates/bench/src/site/launch.rs
@@ -250,7 +250,7 @@
         "name: {name}\nzone: {zone}\ncallers: {callers}\noperators: {operators}\n\
          inner: {inner}\nannounced_inner: {announced}\ntable: {table}\nsite_token_file: {folder}/site.token\n\
          operator_token_file: {folder}/operator.token\npolicy: {policy}\n\
-         log:\n  level: {level}\n",
+         log:\n  level: {level}\n{further}",
         zone = plan.zone(number),
         callers = plan.callers_address(number),
         operators = plan.entry_operators_address(number),
@@ -260,8 +260,9 @@
         folder = folder.display(),
         policy = plan.policy,
         level = plan.log_level,
+        further = plan.entry_settings,
     );
-    start_daemon(&name, "chestnutrun-entry", &text, folder)
+    start_daemon(plan, &name, "chestnutrun-entry", &text, folder)
 }
 
 fn start_agent(plan: &SitePlan, folder: &Path, number: u16) -> Result<SiteProcess, SiteError> {
@@ -283,10 +284,11 @@
         folder = folder.display(),
         level = plan.log_level,
     );
-    start_daemon(&name, "chestnutrun-agent", &text, folder)
+    start_daemon(plan, &name, "chestnutrun-agent", &text, folder)
 }
 
 fn start_daemon(
+    plan: &SitePlan,
     name: &str,
     program: &str,
     settings: &str,
@@ -294,5 +296,5 @@
 ) -> Result<SiteProcess, SiteError> {
     let path = write_file(folder, &format!("{name}.yaml"), settings)?;
     let arguments = ["--conf".to_owned(), path.display().to_string()];
-    SiteProcess::start(name, program, arguments, folder)
+    SiteProcess::start_within(name, program, arguments, folder, plan.descriptors)
 }
--- a/crates/bench/src/site/process.rs
+++ b/crates/bench/src/site/process.rs
@@ -13,9 +13,11 @@
 /// Length of the clock tick in which `/proc` counts processor time.
 const CLOCK_TICK: Duration = Duration::from_millis(10);
 
-/// Memory and processor time that a process has used.
+/// Memory, descriptors and processor time that a process has used.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ProcessUsage {
+    /// Open descriptors.
+    pub descriptors: usize,
     /// Resident memory, in kilobytes.
     pub memory_kilobytes: u64,
     /// User and system time since the start of the process.
@@ -28,6 +30,7 @@
     name: String,
     program: PathBuf,
     arguments: Vec<String>,
+    descriptors: Option<usize>,
     log: PathBuf,
     child: Child,
 }
@@ -43,16 +46,32 @@
         program: &str,
         arguments: impl IntoIterator<Item = String>,
         folder: &Path,
+    ) -> Result<Self, SiteError> {
+        Self::start_within(name, program, arguments, folder, None)
+    }
+
+    /// Starts a program like [`start`](Self::start), which may open so many descriptors;
+    /// as many as this process if none are given.
+    ///
+    /// # Errors
+    /// Returns an error if the program does not start.
+    pub fn start_within(
+        name: impl Into<String>,
+        program: &str,
+        arguments: impl IntoIterator<Item = String>,
+        folder: &Path,
+        descriptors: Option<usize>,
     ) -> Result<Self, SiteError> {
         let name = name.into();
         let program = program_path(program)?;
         let arguments: Vec<String> = arguments.into_iter().collect();
         let log = folder.join(format!("{name}.log"));
-        let child = spawn(&program, &arguments, &log)?;
+        let child = spawn(&program, &arguments, &log, descriptors)?;
         Ok(Self {
             name,
             program,
             arguments,
+            descriptors,
             log,
             child,
         })
@@ -104,7 +123,7 @@
     /// Returns an error if the program does not start.
     pub fn restart(&mut self) -> Result<(), SiteError> {
         self.kill();
-        self.child = spawn(&self.program, &self.arguments, &self.log)?;
+        self.child = spawn(&self.program, &self.arguments, &self.log, self.descriptors)?;
         Ok(())
     }
 
@@ -116,7 +135,26 @@
     /// Reads the usage so far from `/proc`; a value that cannot be read is 0.
     #[must_use]
     pub fn usage(&self) -> ProcessUsage {
-        let folder = PathBuf::from(format!("/proc/{}", self.id()));
+        ProcessUsage::of(self.id())
+    }
+}
+
+impl ProcessUsage {
+    /// Returns the higher value of each.
+    #[must_use]
+    pub fn highest(self, other: Self) -> Self {
+        Self {
+            descriptors: self.descriptors.max(other.descriptors),
+            memory_kilobytes: self.memory_kilobytes.max(other.memory_kilobytes),
+            processor: self.processor.max(other.processor),
+        }
+    }
+
+    /// Reads the usage of the process with this id from `/proc`; a value that cannot be
+    /// read is 0.
+    #[must_use]
+    pub fn of(id: u32) -> Self {
+        let folder = PathBuf::from(format!("/proc/{id}"));
         let status = std::fs::read_to_string(folder.join("status")).unwrap_or_default();
         let memory = status
             .lines()
@@ -130,7 +168,9 @@
             .collect();
         let ticks = fields.get(11..13).map(|times| times.iter().sum());
         let ticks: u64 = ticks.unwrap_or_default();
-        ProcessUsage {
+        let descriptors = std::fs::read_dir(folder.join("fd"));
+        Self {
+            descriptors: descriptors.map_or(0, Iterator::count),
             memory_kilobytes: memory.unwrap_or_default(),
             processor: CLOCK_TICK * u32::try_from(ticks).unwrap_or(u32::MAX),
         }
@@ -143,7 +183,12 @@
     }
 }
 
-fn spawn(program: &Path, arguments: &[String], log: &Path) -> Result<Child, SiteError> {
+fn spawn(
+    program: &Path,
+    arguments: &[String],
+    log: &Path,
+    descriptors: Option<usize>,
+) -> Result<Child, SiteError> {
     let io_error = |error| SiteError::Io(program.display().to_string(), error);
     let out = File::options()
         .append(true)
@@ -151,7 +196,17 @@
         .open(log)
         .map_err(io_error)?;
     let err = out.try_clone().map_err(io_error)?;
-    Command::new(program)
+    let mut command = match descriptors {
+        // The shell sets the limit and becomes the program, so that the id stays.
+        Some(count) => {
+            let mut shell = Command::new("sh");
+            let script = format!("ulimit -n {count} && exec \"$0\" \"$@\"");
+            shell.args(["-c", &script]).arg(program);
+            shell
+        }
+        None => Command::new(program),
+    };
+    command
         .args(arguments)
         .stdin(Stdio::null())
         .stdout(out)
--- a/crates/bench/src/site/site_plan.rs
+++ b/crates/bench/src/site/site_plan.rs
@@ -32,6 +32,11 @@
     pub(crate) policy: String,
     pub(crate) log_level: String,
     pub(crate) relayed: bool,
+    /// Further lines of the entries' settings.
+    pub(crate) entry_settings: String,
+    /// Descriptors that an entry or an agent may open; that of this process if none is
+    /// set.
+    pub(crate) descriptors: Option<usize>,
 }
 
 impl SitePlan {
@@ -49,6 +54,8 @@
                 policy: "size-aware".to_owned(),
                 log_level: "info".to_owned(),
                 relayed: false,
+                entry_settings: String::new(),
+                descriptors: None,
             },
         }
     }
@@ -207,6 +214,20 @@
         self
     }
 
+    /// Adds lines to the settings of every entry.
+    #[must_use]
+    pub fn entry_settings(mut self, lines: impl Into<String>) -> Self {
+        self.plan.entry_settings = lines.into();
+        self
+    }
+
+    /// Sets how many descriptors an entry or an agent may open.
+    #[must_use]
+    pub fn descriptors(mut self, count: usize) -> Self {
+        self.plan.descriptors = Some(count);
+        self
+    }
+
     /// Returns the plan.
     #[must_use]
     pub fn build(self) -> SitePlan {
--- a/crates/decisions/src/intake/intake_limits.rs
+++ b/crates/decisions/src/intake/intake_limits.rs
@@ -12,12 +12,12 @@
 /// Part of the memory that bodies, and jobs made of them, may take.
 const BODIES_PART: (usize, usize) = (1, 8);
 
-/// Descriptors that are not available for sockets.
-const DESCRIPTORS_OF_FILES: usize = 200;
+/// Part of the sockets that connections of callers may take; what it and the part
+/// below leave is for links, the store and endpoints.
+const CALLERS_PART: (usize, usize) = (5, 8);
 
-/// Part of the other descriptors that connections of clients may take; the rest is for
-/// links, the store and endpoints.
-const DESCRIPTORS_PART: (usize, usize) = (3, 4);
+/// Part of the sockets that a listener may take which few peers connect to.
+const FEW_PART: (usize, usize) = (1, 8);
 
 /// Longest body that may use the part of the budget kept for short ones, in bytes; four
 /// times the longest ordinary submission.
@@ -42,23 +42,23 @@
 }
 
 impl IntakeLimits {
-    /// Derives the limits from the memory of the machine, in bytes, and from the
-    /// descriptors that the process may open.
+    /// Derives the limits from the memory of the machine, in bytes, and from the sockets
+    /// that the process may open.
     #[must_use]
-    pub fn of_machine(memory: usize, descriptors: usize) -> Self {
-        let sockets = descriptors.saturating_sub(DESCRIPTORS_OF_FILES);
+    pub fn of_machine(memory: usize, sockets: usize) -> Self {
         let by_memory = part(memory, CONNECTIONS_PART) / CONNECTION_BYTES;
         Self {
-            connections: by_memory.min(part(sockets, DESCRIPTORS_PART)).max(1),
+            connections: by_memory.min(part(sockets, CALLERS_PART)).max(1),
             bytes: part(memory, BODIES_PART),
         }
     }
 
-    /// Returns the limits of a listener that few peers connect to, none of them often.
+    /// Returns the limits of a listener that few peers connect to, none of them often, in
+    /// a process that may open so many sockets.
     #[must_use]
-    pub fn of_few() -> Self {
+    pub fn of_few(sockets: usize) -> Self {
         Self {
-            connections: FEW_CONNECTIONS,
+            connections: FEW_CONNECTIONS.min(part(sockets, FEW_PART)).max(1),
             bytes: FEW_BYTES,
         }
     }
--- a/crates/entry/src/daemon/start.rs
+++ b/crates/entry/src/daemon/start.rs
@@ -9,7 +9,7 @@
         operators::{self, OperatorHandle},
     },
     chestnutrun_net::{
-        HttpLimits, LinkIds, LinkServerConf, LinkTiming, SharedIntake, serve_links, tls_config,
+        HttpLimits, Intakes, LinkIds, LinkServerConf, LinkTiming, serve_links, tls_config,
     },
     chestnutrun_observe::{Metrics, Timeline, start_logs},
     chestnutrun_settings::{EntryConf, TlsConf, load},
@@ -36,6 +36,7 @@
 /// Returns an error if the entry cannot start.
 pub async fn run(arguments: Arguments) -> Result<(), EntryError> {
     let conf: EntryConf = load(&arguments.conf)?;
+    let intakes = intakes(&conf)?;
     if arguments.check_config {
         println!("{}: settings are valid", arguments.conf.display());
         return Ok(());
@@ -54,13 +55,12 @@
     let table = HttpTable::new(conf.table, table_client().await?);
     let ids = LinkIds::default();
     let links = Links::new(me.clone(), site_token.clone(), ids.clone(), link_tx.clone());
-    let operators_intake = SharedIntake::default();
     ntex::rt::spawn(callers::serve(
         Listener {
             socket: callers_listener,
             name: "callers",
             limits: callers_limits(&conf),
-            intake: SharedIntake::default(),
+            intake: intakes.callers.clone(),
             tls: callers_tls,
         },
         tx.clone(),
@@ -71,12 +71,12 @@
             socket: operators_listener,
             name: "operators",
             limits: operators::LIMITS,
-            intake: operators_intake.clone(),
+            intake: intakes.pages.clone(),
             tls: operators_tls,
         },
         OperatorHandle {
             tx: tx.clone(),
-            intake: operators_intake,
+            intakes: intakes.clone(),
             token: operator_token,
             store: Rc::new(table.clone()),
         },
@@ -102,6 +102,19 @@
     daemon.serve(rx, link_rx).await
 }
 
+/// Derives what the listeners may hold from what the machine allows.
+fn intakes(conf: &EntryConf) -> Result<Intakes, EntryError> {
+    let intakes = Intakes::of_machine(conf.machine.memory_bytes(), conf.machine.sockets());
+    let longest = intakes.callers.longest_body();
+    if conf.limits.body_size.bytes() > longest {
+        return Err(EntryError::NoMemoryForBody {
+            body_size: conf.limits.body_size,
+            longest,
+        });
+    }
+    Ok(intakes)
+}
+
 fn callers_limits(conf: &EntryConf) -> HttpLimits {
     HttpLimits {
         head_timeout: conf.limits.head_timeout,
--- a/crates/entry/src/errors.rs
+++ b/crates/entry/src/errors.rs
@@ -3,7 +3,7 @@
 use {
     chestnutrun_net::TlsError,
     chestnutrun_observe::MetricsError,
-    chestnutrun_settings::ConfError,
+    chestnutrun_settings::{ByteSize, ConfError},
     std::{net::SocketAddr, path::PathBuf},
     thiserror::Error,
 };
@@ -14,6 +14,17 @@
     /// The settings are not valid.
     #[error(transparent)]
     Conf(#[from] ConfError),
+    /// The longest body takes more memory than there is for bodies.
+    #[error(
+        "limits.body_size: {body_size} does not fit the memory of the machine, which has room \
+         for bodies of {longest} bytes; lower it or raise machine.memory"
+    )]
+    NoMemoryForBody {
+        /// Longest body of the settings.
+        body_size: ByteSize,
+        /// Longest body that can be admitted, in bytes.
+        longest: usize,
+    },
     /// The entry cannot listen on an address.
     #[error("cannot listen on {0}: {1}")]
     Listen(SocketAddr, std::io::Error),
--- a/crates/entry/src/operators/changes.rs
+++ b/crates/entry/src/operators/changes.rs
@@ -38,7 +38,7 @@
     handle: State<OperatorHandle>,
 ) -> HttpResponse {
     let limits = RequestLimits::default();
-    let service = handle.intake.begin(req.io());
+    let service = handle.intakes.pages.begin(req.io());
     let body = read_body(&req, payload, &service, &limits).await;
     service.close();
     let row = handle
--- a/crates/entry/src/operators/operator_handle.rs
+++ b/crates/entry/src/operators/operator_handle.rs
@@ -6,7 +6,7 @@
         operators::{OperatorReply, OperatorRequest},
         problem::Problem,
     },
-    chestnutrun_net::SharedIntake,
+    chestnutrun_net::Intakes,
     chestnutrun_table::ConfigurationStore,
     chestnutrun_types::{Revision, TableRow},
     ntex::{
@@ -24,8 +24,8 @@
 pub(crate) struct OperatorHandle {
     /// Queue of the loop.
     pub(crate) tx: Sender<Event>,
-    /// Connections of operators.
-    pub(crate) intake: SharedIntake,
+    /// What the listeners of the entry hold on behalf of their clients.
+    pub(crate) intakes: Intakes,
     /// Token that operators must send.
     pub(crate) token: Rc<str>,
     /// Store to which changes are written and from which their history is read.
@@ -36,9 +36,13 @@
     /// Sends a request to the loop and returns its reply as a response.
     pub(crate) async fn respond(&self, request: OperatorRequest) -> HttpResponse {
         let (reply, reply_rx) = oneshot::channel();
+        let is_metrics = matches!(request, OperatorRequest::Metrics);
         let sent = self.tx.send(Event::Operator(request, reply)).await;
         match (sent, reply_rx.await) {
-            (Ok(()), Ok(OperatorReply::Text(status, text))) => {
+            (Ok(()), Ok(OperatorReply::Text(status, mut text))) => {
+                if is_metrics {
+                    text.push_str(&self.intakes.metrics());
+                }
                 let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
                 HttpResponse::build(status)
                     .content_type("text/plain; charset=utf-8")
--- a/crates/entry/src/operators/routes.rs
+++ b/crates/entry/src/operators/routes.rs
@@ -105,7 +105,13 @@
     payload: Payload,
     handle: State<OperatorHandle>,
 ) -> HttpResponse {
-    refuse_unread(&req, payload, &handle.intake, method_not_allowed("GET")).await
+    refuse_unread(
+        &req,
+        payload,
+        &handle.intakes.pages,
+        method_not_allowed("GET"),
+    )
+    .await
 }
 
 async fn get_or_put(
@@ -116,7 +122,7 @@
     refuse_unread(
         &req,
         payload,
-        &handle.intake,
+        &handle.intakes.pages,
         method_not_allowed("GET, PUT"),
     )
     .await
@@ -130,7 +136,7 @@
     refuse_unread(
         &req,
         payload,
-        &handle.intake,
+        &handle.intakes.pages,
         method_not_allowed("PUT, DELETE"),
     )
     .await
@@ -141,5 +147,5 @@
     payload: Payload,
     handle: State<OperatorHandle>,
 ) -> HttpResponse {
-    refuse_unread(&req, payload, &handle.intake, not_found()).await
+    refuse_unread(&req, payload, &handle.intakes.pages, not_found()).await
 }
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -68,7 +68,7 @@
 }
 
 /// Serves an application over plain HTTP until the process ends, with an intake of its
-/// own.
+/// own; for stand-ins, whose clients keep to the limits.
 pub async fn serve_http<S, U, E>(listener: TcpListener, app: U, cfg: SharedCfg)
 where
     U: IntoServiceFactory<S, Request, SharedCfg>,
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -15,9 +15,9 @@
     tokio::{sync::Notify, time::timeout},
 };
 
-/// Limits of listeners whose process sets none: those of 512 MB and 8,192 descriptors.
-const DEFAULT_MEMORY_BYTES: usize = 512 << 20;
-const DEFAULT_DESCRIPTORS: usize = 8_192;
+/// Limits of stand-ins, whose clients keep to the limits: those of 512 MB and 8,192 sockets.
+const STANDIN_MEMORY_BYTES: usize = 512 << 20;
+const STANDIN_SOCKETS: usize = 8_192;
 
 /// Interval at which a new connection looks for one that yields its place.
 const PLACE_INTERVAL: Duration = Duration::from_millis(50);
@@ -68,8 +68,8 @@
 impl Default for SharedIntake {
     fn default() -> Self {
         Self::new(IntakeLimits::of_machine(
-            DEFAULT_MEMORY_BYTES,
-            DEFAULT_DESCRIPTORS,
+            STANDIN_MEMORY_BYTES,
+            STANDIN_SOCKETS,
         ))
     }
 }
@@ -89,6 +89,12 @@
         }))
     }
 
+    /// Returns the longest body that can be admitted, in bytes.
+    #[must_use]
+    pub fn longest_body(&self) -> usize {
+        self.0.machine.borrow().limits().longest_body()
+    }
+
     /// Returns the open connections, the reserved bytes and the closings by cause, as
     /// lines of metrics with this label.
     #[must_use]
--- /dev/null
+++ b/crates/net/src/intakes.rs
@@ -0,0 +1,32 @@
+//! What the listeners of an entry may hold on behalf of their clients.
+
+use {crate::SharedIntake, chestnutrun_decisions::intake::IntakeLimits};
+
+/// Intakes of an entry's listeners. Each kind of peer has one of its own, so that none can
+/// take the connections of the others.
+#[derive(Clone, Debug)]
+pub struct Intakes {
+    /// Connections of callers.
+    pub callers: SharedIntake,
+    /// Connections of operators and of the load balancer.
+    pub pages: SharedIntake,
+}
+
+impl Intakes {
+    /// Derives the limits from the memory of the machine, in bytes, and from the sockets
+    /// that the process may open.
+    #[must_use]
+    pub fn of_machine(memory: usize, sockets: usize) -> Self {
+        Self {
+            callers: SharedIntake::new(IntakeLimits::of_machine(memory, sockets)),
+            pages: SharedIntake::new(IntakeLimits::of_few(sockets)),
+        }
+    }
+
+    /// Returns the open connections, the reserved bytes and the closings by cause of all
+    /// listeners, as lines of metrics.
+    #[must_use]
+    pub fn metrics(&self) -> String {
+        self.callers.metrics("callers") + &self.pages.metrics("pages")
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 mod errors;
 mod http;
 mod intake;
+mod intakes;
 mod link;
 mod link_client;
 mod link_server;
@@ -20,6 +21,7 @@
     errors::LinkError,
     http::{HttpLimits, ServeConf, http_config, serve_http, serve_http_with, serve_http_within},
     intake::{RequestService, SharedIntake},
+    intakes::Intakes,
     link::{Link, LinkEvent, LinkId, LinkIds, LinkTiming, PeerName},
     link_client::{Dialer, DialerConf},
     link_server::{LinkServerConf, serve_links},
--- a/crates/settings/src/agent_conf.rs
+++ b/crates/settings/src/agent_conf.rs
@@ -1,7 +1,7 @@
 //! Settings of an agent.
 
 use {
-    crate::{Conf, LogConf, address_check, checks, entry_conf::STOP_WITHIN_RANGE},
+    crate::{Conf, LogConf, MachineConf, address_check, checks, entry_conf::STOP_WITHIN_RANGE},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, path::PathBuf, time::Duration},
 };
@@ -31,6 +31,9 @@
     pub shard: u32,
     /// File with the secret by which the site's processes authenticate each other.
     pub site_token_file: PathBuf,
+    /// What the machine allows the process.
+    #[serde(default)]
+    pub machine: MachineConf,
     /// Longest time that a planned stop may take.
     #[serde(default = "half_a_minute", with = "humantime_serde")]
     pub stop_within: Duration,
@@ -53,6 +56,7 @@
         let connections = self.connections as usize;
         checks::at_least(&mut problems, "connections", slots, connections);
         checks::at_least(&mut problems, "entries", 1, self.entries.len());
+        self.machine.check(&mut problems);
         let stop_within = self.stop_within;
         checks::within(&mut problems, "stop_within", STOP_WITHIN_RANGE, stop_within);
         let listening = [("operators", self.operators)];
--- a/crates/settings/src/entry_conf.rs
+++ b/crates/settings/src/entry_conf.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        ByteSize, Conf, LogConf, TlsConf,
+        ByteSize, Conf, LogConf, MachineConf, TlsConf,
         address_check::{self, NamedAddress},
         checks,
     },
@@ -106,6 +106,9 @@
     /// Limits of HTTP requests from callers.
     #[serde(default)]
     pub limits: RequestLimits,
+    /// What the machine allows the process.
+    #[serde(default)]
+    pub machine: MachineConf,
     /// Longest time that a planned stop may take.
     #[serde(default = "half_a_minute", with = "humantime_serde")]
     pub stop_within: Duration,
@@ -131,6 +134,7 @@
         let stop_within = self.stop_within;
         checks::within(&mut problems, "stop_within", STOP_WITHIN_RANGE, stop_within);
         self.limits.check(&mut problems);
+        self.machine.check(&mut problems);
         let http = [("callers", self.callers), ("operators", self.operators)];
         let listening = [http[0], http[1], ("inner", self.inner)];
         problems.extend(address_check::without_port(&listening));
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,6 +9,7 @@
 mod errors;
 mod load;
 mod log_conf;
+mod machine_conf;
 mod tls_conf;
 
 pub use {
@@ -18,5 +19,6 @@
     errors::ConfError,
     load::{Conf, load},
     log_conf::{LogConf, LogLevel},
+    machine_conf::MachineConf,
     tls_conf::TlsConf,
 };
--- a/crates/settings/tests/problems.rs
+++ b/crates/settings/tests/problems.rs
@@ -50,6 +50,8 @@
 #[case::zero("shards: 1", "shards: 0", &["shards: 0 is too low; accepted: 1 or more"])]
 #[case::name("name: entry-1", "name: \"a b\"", &["name: `a b`", "accepted"])]
 #[case::range("head_timeout: 5s", "head_timeout: 1ms", &["limits.head_timeout: 1ms is out of range; accepted: 1s to 600s"])]
+#[case::memory("memory: 1GiB", "memory: 16MiB", &["machine.memory: 16MiB is too low; accepted: 48MiB or more"])]
+#[case::descriptors("descriptors: 8192", "descriptors: 64", &["machine.descriptors: 64 is too low; accepted: 128 or more"])]
 fn a_wrong_entry_is_explained(#[case] from: &str, #[case] to: &str, #[case] expected: &[&str]) {
     let name = format!("{}-{}", from.len(), to.len());
     let text = problem::<EntryConf>(&name, ENTRY, from, to);
