Bound the links that are not open yet

Seen: 400 connections to the link port took 385 descriptors of 300 without a byte and 419 with a head that does not end, and each left a log line when it ended (404 and, for requests of pages, 403 lines). The own path: 256 of 256 descriptors, 253 lines. Cause: a connection before its handshake was bounded by 1.2 s alone. Change: an eighth of the sockets, and of the memory at 64 KB each, which is the websocket library's longest handshake; the oldest yields to a new one. Peers of the site need milliseconds and dial again after 200 ms. Failures are counted by cause and logged at the rate of other closings. Evidence: a property of the decision; the crowds.

--- a/crates/bench/tests/crowds.rs
+++ b/crates/bench/tests/crowds.rs
@@ -57,12 +57,14 @@
 enum Target {
     Callers,
     Operators,
+    Links,
     AgentOperators,
 }
 
 #[rstest]
 #[case::silent_callers(Target::Callers, Shape::Silent)]
 #[case::silent_operators(Target::Operators, Shape::Silent)]
+#[case::silent_links(Target::Links, Shape::Silent)]
 #[case::silent_agent_operators(Target::AgentOperators, Shape::Silent)]
 fn a_crowd_leaves_descriptors_to_links_table_and_operators(
     #[case] target: Target,
@@ -105,6 +107,7 @@
         let (process, to) = match target {
             Target::Callers => (&site.entries[0], site.plan.callers_address(0)),
             Target::Operators => (&site.entries[0], site.plan.entry_operators_address(0)),
+            Target::Links => (&site.entries[0], site.plan.links_address(0)),
             Target::AgentOperators => (&site.agents[0], site.plan.agent_operators_address(0)),
         };
         let idle = process.usage();
--- a/crates/decisions/src/intake/intake_limits.rs
+++ b/crates/decisions/src/intake/intake_limits.rs
@@ -12,13 +12,23 @@
 /// Part of the memory that bodies, and jobs made of them, may take.
 const BODIES_PART: (usize, usize) = (1, 8);
 
-/// Part of the sockets that connections of callers may take; what it and the part
-/// below leave is for links, the store and endpoints.
+/// Part of the sockets that connections of callers may take; what it and the two parts
+/// below leave is for open links, the store and endpoints.
 const CALLERS_PART: (usize, usize) = (5, 8);
 
 /// Part of the sockets that a listener may take which few peers connect to.
 const FEW_PART: (usize, usize) = (1, 8);
 
+/// Part of the sockets that links may take before their peer has proved that it belongs
+/// to the site.
+const HANDSHAKES_PART: (usize, usize) = (1, 8);
+
+/// Part of the memory that such links may take.
+const HANDSHAKES_MEMORY_PART: (usize, usize) = (1, 8);
+
+/// Most memory that such a link takes, in bytes: the longest head of its handshake.
+pub const HANDSHAKE_BYTES: usize = 64 * 1024;
+
 /// Longest body that may use the part of the budget kept for short ones, in bytes; four
 /// times the longest ordinary submission.
 pub const SHORT_BODY_BYTES: usize = 16 * 1024;
@@ -80,6 +90,15 @@
     }
 }
 
+/// Returns how many links may be open whose peer has not proved yet that it belongs to the
+/// site, from the memory of the machine, in bytes, and the sockets that the process may
+/// open.
+#[must_use]
+pub fn most_handshakes(memory: usize, sockets: usize) -> usize {
+    let by_memory = part(memory, HANDSHAKES_MEMORY_PART) / HANDSHAKE_BYTES;
+    by_memory.min(part(sockets, HANDSHAKES_PART)).max(1)
+}
+
 fn part(of: usize, (numerator, denominator): (usize, usize)) -> usize {
     of / denominator * numerator
 }
--- a/crates/decisions/src/intake/mod.rs
+++ b/crates/decisions/src/intake/mod.rs
@@ -4,10 +4,14 @@
 //! request that does not end, or a response that nobody reads. Knows connections, bytes
 //! and stages; nothing of the encoding.
 
+mod handshakes;
 mod intake_limits;
 mod intake_machine;
 
 pub use {
-    intake_limits::{CONNECTION_BYTES, IntakeLimits, SHORT_BODY_BYTES},
+    handshakes::Handshakes,
+    intake_limits::{
+        CONNECTION_BYTES, HANDSHAKE_BYTES, IntakeLimits, SHORT_BODY_BYTES, most_handshakes,
+    },
     intake_machine::{Admission, ConnectionId, Intake, IntakeAction},
 };
--- a/crates/decisions/tests/intake.rs
+++ b/crates/decisions/tests/intake.rs
@@ -3,7 +3,9 @@
 //! an ordinary request after the crowd gets its bytes.
 
 use {
-    chestnutrun_decisions::intake::{Admission, ConnectionId, Intake, IntakeAction, IntakeLimits},
+    chestnutrun_decisions::intake::{
+        Admission, ConnectionId, Handshakes, Intake, IntakeAction, IntakeLimits,
+    },
     proptest::prelude::*,
     rstest::rstest,
     std::time::{Duration, Instant},
@@ -239,6 +241,25 @@
         }
     }
 
+    #[test]
+    fn the_oldest_handshake_yields_to_a_new_one(
+        steps in prop::collection::vec((any::<bool>(), 0_usize..50), 1..200),
+    ) {
+        const MOST: usize = 5;
+        let mut handshakes = Handshakes::new(MOST);
+        let mut open: Vec<ConnectionId> = Vec::new();
+        for (number, (begins, which)) in steps.into_iter().enumerate() {
+            if begins {
+                let oldest = (open.len() == MOST).then(|| open.remove(0));
+                prop_assert_eq!(handshakes.begin(number), oldest);
+                open.push(number);
+            } else if !open.is_empty() {
+                handshakes.end(open.remove(which % open.len()));
+            }
+            prop_assert_eq!(handshakes.len(), open.len());
+        }
+    }
+
     #[test]
     fn an_ordinary_request_after_a_crowd_gets_its_bytes(
         steps in prop::collection::vec((0_usize..5, 0_usize..12, 1_usize..300_000), 1..200),
--- a/crates/dispatch/src/entry_loop.rs
+++ b/crates/dispatch/src/entry_loop.rs
@@ -18,7 +18,7 @@
         overlay::{OverlayConf, OverlayInput, RingOrder},
         placement::{CallerId, DispatchAction, DispatchInput, Dispatcher, JobOutcome},
     },
-    chestnutrun_net::{LinkEvent, LinkIds, LinkServerConf, serve_links},
+    chestnutrun_net::{LinkEvent, LinkIds, LinkIntake, LinkServerConf, serve_links},
     chestnutrun_protocol::{Hello, Message},
     chestnutrun_types::{CancelledJob, Member, Now, ZoneId},
     indexmap::IndexMap,
@@ -54,6 +54,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Accepts links of agents and other entries.
     pub listener: TcpListener,
+    /// Bounds the accepted links that are not open yet.
+    pub link_intake: LinkIntake,
     /// Store of the registered entries and the routing table.
     pub directory: Box<dyn Directory>,
     /// The current routing table, which the loop updates.
@@ -120,6 +122,7 @@
                 timing: ACCEPTED_LINK_TIMING,
                 events: link_tx,
             },
+            conf.link_intake,
         ));
         conf.directory.follow_routing(directory_tx.clone());
         conf.directory.register(conf.me.clone(), directory_tx);
--- a/crates/entry/src/daemon/start.rs
+++ b/crates/entry/src/daemon/start.rs
@@ -89,6 +89,7 @@
             timing: LinkTiming::default(),
             events: link_tx,
         },
+        intakes.links,
     ));
     let daemon = EntryDaemon::new(EntryDaemonParts {
         table: Box::new(table),
--- a/crates/net/src/closings.rs
+++ b/crates/net/src/closings.rs
@@ -32,10 +32,12 @@
     LargeHead,
     /// A head did not arrive in time.
     SlowHead,
+    /// A peer of a link did not prove that it belongs to the site.
+    NoHandshake,
 }
 
 /// All causes with their names in logs and metrics.
-const CAUSES: [(ClosingCause, &str); 8] = [
+const CAUSES: [(ClosingCause, &str); 9] = [
     (ClosingCause::NoPlace, "no-place"),
     (ClosingCause::StalledBody, "stalled-body"),
     (ClosingCause::NoBytes, "no-bytes"),
@@ -44,6 +46,7 @@
     (ClosingCause::LongLine, "long-line"),
     (ClosingCause::LargeHead, "large-head"),
     (ClosingCause::SlowHead, "slow-head"),
+    (ClosingCause::NoHandshake, "no-handshake"),
 ];
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/net/src/errors.rs
+++ b/crates/net/src/errors.rs
@@ -21,6 +21,10 @@
     /// in a header.
     #[error("peer did not send a hello as its first message")]
     NoHello,
+    /// The link was closed for a newer one before its peer had proved that it belongs to
+    /// the site.
+    #[error("peer did not prove in time that it belongs to the site, and others wait")]
+    Yielded,
     /// The peer closed the link.
     #[error("peer closed the link")]
     Closed,
--- a/crates/net/src/intakes.rs
+++ b/crates/net/src/intakes.rs
@@ -1,6 +1,9 @@
 //! What the listeners of an entry may hold on behalf of their clients.
 
-use {crate::SharedIntake, chestnutrun_decisions::intake::IntakeLimits};
+use {
+    crate::{LinkIntake, SharedIntake},
+    chestnutrun_decisions::intake::{IntakeLimits, most_handshakes},
+};
 
 /// Intakes of an entry's listeners. Each kind of peer has one of its own, so that none can
 /// take the connections of the others.
@@ -10,6 +13,8 @@
     pub callers: SharedIntake,
     /// Connections of operators and of the load balancer.
     pub pages: SharedIntake,
+    /// Links that are not open yet.
+    pub links: LinkIntake,
 }
 
 impl Intakes {
@@ -20,6 +25,7 @@
         Self {
             callers: SharedIntake::new(IntakeLimits::of_machine(memory, sockets)),
             pages: SharedIntake::new(IntakeLimits::of_few(sockets)),
+            links: LinkIntake::new(most_handshakes(memory, sockets)),
         }
     }
 
@@ -27,6 +33,6 @@
     /// listeners, as lines of metrics.
     #[must_use]
     pub fn metrics(&self) -> String {
-        self.callers.metrics("callers") + &self.pages.metrics("pages")
+        self.callers.metrics("callers") + &self.pages.metrics("pages") + &self.links.metrics()
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 mod intakes;
 mod link;
 mod link_client;
+mod link_intake;
 mod link_server;
 mod not_sent;
 mod read_bound;
@@ -24,6 +25,7 @@
     intakes::Intakes,
     link::{Link, LinkEvent, LinkId, LinkIds, LinkTiming, PeerName},
     link_client::{Dialer, DialerConf},
+    link_intake::LinkIntake,
     link_server::{LinkServerConf, serve_links},
     not_sent::was_not_sent,
     request_fault::{FaultResponse, RequestFault},
--- a/crates/net/src/link_server.rs
+++ b/crates/net/src/link_server.rs
@@ -2,11 +2,11 @@
 
 use {
     crate::{
-        LinkError, LinkEvent, LinkIds, PeerName,
+        LinkError, LinkEvent, LinkIds, LinkIntake, PeerName,
         link::{LinkTiming, OPEN_TIMEOUT, Received, read_frame, run_link, socket_config},
     },
     chestnutrun_protocol::{Message, PROTOCOL},
-    std::{rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::mpsc::Sender,
@@ -37,16 +37,13 @@
     pub events: Sender<LinkEvent>,
 }
 
-/// Accepts links until the process ends.
-pub async fn serve_links(listener: TcpListener, cfg: LinkServerConf) {
+/// Accepts links until the process ends, within the limits of an intake.
+pub async fn serve_links(listener: TcpListener, cfg: LinkServerConf, intake: LinkIntake) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let cfg = cfg.clone();
-                ntex::rt::spawn(async move {
-                    let error = serve_link(stream, &cfg).await;
-                    log::info!("link from {peer} ended: {error}");
-                });
+                let (cfg, intake) = (cfg.clone(), intake.clone());
+                ntex::rt::spawn(async move { serve_link(stream, peer, &cfg, &intake).await });
             }
             Err(error) => {
                 log::warn!("link not accepted: {error}; retrying after a delay");
@@ -56,13 +53,28 @@
     }
 }
 
-async fn serve_link(stream: TcpStream, cfg: &LinkServerConf) -> LinkError {
-    match timeout(OPEN_TIMEOUT, open(stream, cfg)).await {
-        Err(_) => LinkError::Silent,
-        Ok(Err(error)) => error,
-        Ok(Ok((socket, peer))) => {
-            run_link(cfg.ids.next(), socket, peer, cfg.timing, &cfg.events).await
+/// Opens an accepted link and runs it until it ends.
+async fn serve_link(
+    stream: TcpStream,
+    peer: SocketAddr,
+    cfg: &LinkServerConf,
+    intake: &LinkIntake,
+) {
+    let mut handshake = intake.begin();
+    let opened = tokio::select! {
+        opened = timeout(OPEN_TIMEOUT, open(stream, cfg)) => {
+            opened.unwrap_or(Err(LinkError::Silent))
+        }
+        () = handshake.until_yielded() => Err(LinkError::Yielded),
+    };
+    handshake.close(opened.is_ok());
+    match opened {
+        Ok((socket, name)) => {
+            let error = run_link(cfg.ids.next(), socket, name, cfg.timing, &cfg.events).await;
+            log::info!("link from {peer} ended: {error}");
         }
+        // Anybody can bring this about, so it is only counted at other levels.
+        Err(error) => log::debug!("link from {peer} not opened: {error}"),
     }
 }
 
