--- a/crates/bench/src/crowd/crowd_clients.rs
+++ b/crates/bench/src/crowd/crowd_clients.rs
@@ -31,11 +31,18 @@
 
 /// What all clients of a crowd have sent.
 #[derive(Debug, Default)]
-struct Sent {
+pub(crate) struct Sent {
     bytes: Cell<u64>,
     last_id: Cell<u64>,
 }
 
+impl Sent {
+    /// Returns the bytes that the sockets of all clients took.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes.get()
+    }
+}
+
 impl Crowd {
     /// Opens the connections and starts to send; has to be called within a local set of
     /// tasks.
@@ -86,7 +93,7 @@
 
 /// Sends the script until the process closes the connection, and keeps the connection
 /// open until the future is dropped. Returns only if there is no connection.
-async fn open(to: SocketAddr, script: &Script, sent: &Sent) {
+pub(crate) async fn open(to: SocketAddr, script: &Script, sent: &Sent) {
     let socket = TcpSocket::new_v4().expect("a socket is created");
     let sized = socket.set_recv_buffer_size(CLIENT_BUFFER_BYTES);
     sized.expect("the buffer size is set");
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use {
     bpaf::Bpaf,
     chestnutrun_bench::{
+        crowd::{self, CrowdArguments},
         demo::{self, DemoArguments},
         experiment::{self, ExperimentArguments},
         observation,
@@ -37,6 +38,9 @@
     /// Starts a whole site and sends it the load of a market's opening.
     #[bpaf(command)]
     Demo(#[bpaf(external(demo::demo_arguments))] DemoArguments),
+    /// Plays clients that do not keep to the limits against a running site.
+    #[bpaf(command)]
+    Crowd(#[bpaf(external(crowd::crowd_arguments))] CrowdArguments),
     /// Compares placement policies on the same arrivals.
     #[bpaf(command)]
     Experiment(#[bpaf(external(experiment::experiment_arguments))] ExperimentArguments),
@@ -56,6 +60,7 @@
             Command::Table { listen } => table::run(listen).await,
             Command::Endpoint { listen, slots } => endpoint::run(listen, slots).await,
             Command::Demo(arguments) => demo::run(arguments).await,
+            Command::Crowd(arguments) => crowd::run(arguments).await,
             Command::Experiment(arguments) => experiment::run(arguments).await,
             Command::Observation => observation::run(),
             Command::Slopes(arguments) => slopes::run(arguments).await,
