Let a TLS handshake begin while others do not end

Cause: the TLS library admits 256 handshakes at a time, over all listeners of a thread, and lets all others wait. A crowd that comes back takes all of them all the time. Change: no limit on handshakes of their own; they are connections, which the intake bounds and closes for want of progress. Evidence: a handshake that fails ends before the silent ones do (in crates/bench/tests/tls.rs, by order, not by time): red before, green after.

--- a/crates/bench/tests/tls.rs
+++ b/crates/bench/tests/tls.rs
@@ -15,9 +15,17 @@
         path::{Path, PathBuf},
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::sleep,
+    },
 };
 
+/// Clients that do not finish their handshakes; the library handles 256 at a time unless
+/// it is told otherwise.
+const UNFINISHED: usize = 300;
+
 /// A running entry with TLS, and its certificate, which clients trust.
 struct TlsEntry {
     process: SiteProcess,
@@ -133,3 +141,30 @@
         entry.close();
     });
 }
+
+/// Clients that do not finish their handshakes must not keep others from beginning one,
+/// not even at another address of the process.
+#[rstest]
+fn a_handshake_does_not_wait_for_those_of_others() {
+    block_on(async {
+        let entry = TlsEntry::start();
+        let client = entry.client().await;
+        get(&client, &format!("https://{}/live", entry.operators)).await;
+        let mut silent = Vec::new();
+        for _ in 0..UNFINISHED {
+            let connection = TcpStream::connect(entry.callers).await;
+            silent.push(connection.expect("the entry listens"));
+        }
+        let mut plain = TcpStream::connect(entry.operators).await.unwrap();
+        let sent = plain.write_all(b"GET /live HTTP/1.1\r\n\r\n").await;
+        sent.expect("the request is sent");
+        let (mut answer, mut nothing) = (Vec::new(), [0; 1]);
+        let is_first = tokio::select! {
+            // The handshake fails, and the connection ends.
+            _ = plain.read_to_end(&mut answer) => true,
+            _ = silent[0].read(&mut nothing) => false,
+        };
+        assert!(is_first, "the handshakes before it had to end first");
+        entry.close();
+    });
+}
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -17,6 +17,7 @@
             IntoServiceFactory, ServiceFactory, apply_fn_factory, dev::ApplyCtx, fn_service,
         },
         time::Seconds,
+        tls::max_concurrent_ssl_accept,
         util::BytePageSize,
         web::{WebResponse, error::ErrorContainer},
     },
@@ -135,6 +136,9 @@
             accept(listener, http, cfg, intake).await;
         }
         Some(tls) => {
+            // By default the listeners of a process share 256 handshakes, for which all
+            // others wait. Handshakes are connections, and the intake bounds those.
+            max_concurrent_ssl_accept(usize::MAX);
             let http = http_service(app, fault_response, intake.clone());
             let http = http.map_err(|e| format!("{e:?}"));
             let acceptor = TlsAcceptor::new(tls).map_err(|e: io::Error| e.to_string());
