Count what TLS takes for each connection

Cause: a connection was counted with 48 KB, encrypted or not; rustls collects a handshake message of up to 64 KB, and records. Change: 96 KB more where callers' connections are encrypted. The metrics of an agent show its connections and closings, as those of an entry do. Plain connections have the limits they had.

--- a/crates/agent/src/operators.rs
+++ b/crates/agent/src/operators.rs
@@ -24,10 +24,15 @@
 /// Serves the operators' pages until the process ends.
 pub(crate) async fn serve(listener: TcpListener, tx: Sender<Event>, intake: SharedIntake) {
     let page = |page: Page| {
-        web::get().to(move |tx: State<Sender<Event>>| async move { respond(&tx, page).await })
+        web::get().to(
+            move |tx: State<Sender<Event>>, intake: State<SharedIntake>| async move {
+                respond(&tx, &intake, page).await
+            },
+        )
     };
     let app = App::new()
         .state(tx)
+        .state(intake.clone())
         .route("/live", page(Page::Live))
         .route("/ready", page(Page::Ready))
         .route("/metrics", page(Page::Metrics))
@@ -36,13 +41,17 @@
     serve_http_within(listener, app, http_config("operators", LIMITS), intake).await;
 }
 
-async fn respond(tx: &Sender<Event>, page: Page) -> HttpResponse {
+async fn respond(tx: &Sender<Event>, intake: &SharedIntake, page: Page) -> HttpResponse {
+    let is_metrics = matches!(page, Page::Metrics);
     let (reply_tx, reply_rx) = oneshot::channel();
     if tx.send(Event::Page(page, reply_tx)).await.is_err() {
         return HttpResponse::ServiceUnavailable().finish();
     }
     match reply_rx.await {
-        Ok((status, body)) => {
+        Ok((status, mut body)) => {
+            if is_metrics {
+                body.push_str(&intake.metrics("pages"));
+            }
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
             HttpResponse::build(status).body(body)
         }
--- a/crates/bench/tests/tls.rs
+++ b/crates/bench/tests/tls.rs
@@ -1,7 +1,10 @@
 //! Tests of TLS for callers and operators, against a running entry.
 
 use {
-    chestnutrun_bench::site::{SitePlan, SiteProcess, block_on},
+    chestnutrun_bench::{
+        crowd::{Crowd, Script},
+        site::{ProcessUsage, SitePlan, SiteProcess, block_on},
+    },
     ntex::{
         SharedCfg,
         client::{Client, Connector},
@@ -26,6 +29,21 @@
 /// it is told otherwise.
 const UNFINISHED: usize = 300;
 
+/// Clients of a crowd; more than the memory of the test's settings allows.
+const CLIENTS: usize = 800;
+
+/// Memory of the machine in the settings of the test, in megabytes.
+const MEMORY_MB: u64 = 52;
+
+/// How long a crowd sends.
+const CROWD_TIME: Duration = Duration::from_secs(4);
+
+/// Payload of a TLS record, in bytes.
+const RECORD_BYTES: u16 = 16_000;
+
+/// First bytes of a handshake message of 64 KB, which comes in several records.
+const LONG_HELLO: [u8; 4] = [1, 0, 0xff, 0xff];
+
 /// A running entry with TLS, and its certificate, which clients trust.
 struct TlsEntry {
     process: SiteProcess,
@@ -37,6 +55,11 @@
 
 impl TlsEntry {
     fn start() -> Self {
+        Self::start_with("")
+    }
+
+    /// Starts an entry with further lines of settings.
+    fn start_with(further: &str) -> Self {
         let plan = SitePlan::builder().build();
         let callers = plan.callers_address(0);
         let operators = plan.entry_operators_address(0);
@@ -53,7 +76,7 @@
         let settings = format!(
             "name: entry-0\nzone: a\ncallers: {callers}\noperators: {operators}\n\
              inner: {}\ntable: {}\nsite_token_file: {path}/token\noperator_token_file: {path}/token\n\
-             callers_tls:\n  {tls}\noperators_tls:\n  {tls}\n",
+             callers_tls:\n  {tls}\noperators_tls:\n  {tls}\n{further}",
             plan.links_address(0),
             plan.table_address(),
         );
@@ -168,3 +191,55 @@
         entry.close();
     });
 }
+
+/// Returns a handshake message that does not end, with the bytes that the TLS library
+/// collects of it.
+fn unfinished_hello() -> Script {
+    let [high, low] = RECORD_BYTES.to_be_bytes();
+    let record = |payload: &[u8]| {
+        let mut record = vec![22, 3, 1, high, low];
+        record.extend(payload);
+        record.resize(5 + usize::from(RECORD_BYTES), 0);
+        record
+    };
+    Script {
+        head: record(&LONG_HELLO),
+        piece: record(&[]),
+        repeats: 3,
+        ..Script::default()
+    }
+}
+
+/// Guards against a limit of connections that leaves out what TLS takes for each.
+#[rstest]
+fn a_crowd_without_handshakes_leaves_an_entry_within_its_machine() {
+    block_on(async {
+        let further = format!(
+            "limits:\n  body_size: 1MiB\nmachine:\n  memory: {MEMORY_MB}MiB\n  descriptors: 4096\n"
+        );
+        let mut entry = TlsEntry::start_with(&further);
+        let client = entry.client().await;
+        let url = format!("https://{}/v1/contracts/letters/jobs/k1", entry.callers);
+        get(&client, &url).await;
+        let crowd = Crowd::start(entry.callers, CLIENTS, unfinished_hello());
+        let until = Instant::now() + CROWD_TIME;
+        let mut highest = entry.process.usage();
+        while Instant::now() < until {
+            highest = highest.highest(ProcessUsage::of(entry.process.id()));
+            sleep(Duration::from_millis(10)).await;
+        }
+        let (status, _) = get(&client, &url).await;
+        crowd.close();
+        println!("highest {highest:?}");
+        assert_eq!(entry.process.exit_status(), None);
+        assert!(
+            highest.memory_kilobytes <= MEMORY_MB * 1_024,
+            "{highest:?} of {MEMORY_MB} MB"
+        );
+        assert_eq!(
+            status, 503,
+            "the site is not ready, and the caller is told so"
+        );
+        entry.close();
+    });
+}
--- a/crates/decisions/src/intake/intake_limits.rs
+++ b/crates/decisions/src/intake/intake_limits.rs
@@ -5,6 +5,10 @@
 /// not taken yet, and the state of the connection.
 pub const CONNECTION_BYTES: usize = 48 * 1024;
 
+/// What a connection takes beside it where it is encrypted, in bytes: the longest message of
+/// a handshake, and a record in each direction.
+pub const TLS_BYTES: usize = 96 * 1024;
+
 /// Part of the memory that connections may take; half of it stays for the process's own
 /// work, since what the allocator keeps counts too.
 const CONNECTIONS_PART: (usize, usize) = (3, 8);
@@ -53,10 +57,10 @@
 
 impl IntakeLimits {
     /// Derives the limits from the memory of the machine, in bytes, and from the sockets
-    /// that the process may open.
+    /// that the process may open. Each connection takes `connection_bytes` at most.
     #[must_use]
-    pub fn of_machine(memory: usize, sockets: usize) -> Self {
-        let by_memory = part(memory, CONNECTIONS_PART) / CONNECTION_BYTES;
+    pub fn of_machine(memory: usize, sockets: usize, connection_bytes: usize) -> Self {
+        let by_memory = part(memory, CONNECTIONS_PART) / connection_bytes;
         Self {
             connections: by_memory.min(part(sockets, CALLERS_PART)).max(1),
             bytes: part(memory, BODIES_PART),
--- a/crates/decisions/src/intake/mod.rs
+++ b/crates/decisions/src/intake/mod.rs
@@ -11,7 +11,8 @@
 pub use {
     handshakes::Handshakes,
     intake_limits::{
-        CONNECTION_BYTES, HANDSHAKE_BYTES, IntakeLimits, SHORT_BODY_BYTES, most_handshakes,
+        CONNECTION_BYTES, HANDSHAKE_BYTES, IntakeLimits, SHORT_BODY_BYTES, TLS_BYTES,
+        most_handshakes,
     },
     intake_machine::{Admission, ConnectionId, Intake, IntakeAction},
 };
--- a/crates/entry/src/daemon/start.rs
+++ b/crates/entry/src/daemon/start.rs
@@ -105,7 +105,9 @@
 
 /// Derives what the listeners may hold from what the machine allows.
 fn intakes(conf: &EntryConf) -> Result<Intakes, EntryError> {
-    let intakes = Intakes::of_machine(conf.machine.memory_bytes(), conf.machine.sockets());
+    let machine = &conf.machine;
+    let is_encrypted = conf.callers_tls.is_some();
+    let intakes = Intakes::of_machine(machine.memory_bytes(), machine.sockets(), is_encrypted);
     let longest = intakes.callers.longest_body();
     if conf.limits.body_size.bytes() > longest {
         return Err(EntryError::NoMemoryForBody {
--- a/crates/net/src/intake.rs
+++ b/crates/net/src/intake.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{ClosingCause, closings::Closings, read_bound::ReadBound},
-    chestnutrun_decisions::intake::{Admission, ConnectionId, Intake, IntakeAction, IntakeLimits},
+    chestnutrun_decisions::intake::{
+        Admission, CONNECTION_BYTES, ConnectionId, Intake, IntakeAction, IntakeLimits,
+    },
     chestnutrun_types::Now,
     indexmap::IndexMap,
     ntex::io::{Id, IoRef},
@@ -70,6 +72,7 @@
         Self::new(IntakeLimits::of_machine(
             STANDIN_MEMORY_BYTES,
             STANDIN_SOCKETS,
+            CONNECTION_BYTES,
         ))
     }
 }
--- a/crates/net/src/intakes.rs
+++ b/crates/net/src/intakes.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{LinkIntake, SharedIntake},
-    chestnutrun_decisions::intake::{IntakeLimits, most_handshakes},
+    chestnutrun_decisions::intake::{CONNECTION_BYTES, IntakeLimits, TLS_BYTES, most_handshakes},
 };
 
 /// Intakes of an entry's listeners. Each kind of peer has one of its own, so that none can
@@ -19,11 +19,13 @@
 
 impl Intakes {
     /// Derives the limits from the memory of the machine, in bytes, and from the sockets
-    /// that the process may open.
+    /// that the process may open; connections of callers may be encrypted.
     #[must_use]
-    pub fn of_machine(memory: usize, sockets: usize) -> Self {
+    pub fn of_machine(memory: usize, sockets: usize, is_encrypted: bool) -> Self {
+        let tls_bytes = if is_encrypted { TLS_BYTES } else { 0 };
+        let callers = IntakeLimits::of_machine(memory, sockets, CONNECTION_BYTES + tls_bytes);
         Self {
-            callers: SharedIntake::new(IntakeLimits::of_machine(memory, sockets)),
+            callers: SharedIntake::new(callers),
             pages: SharedIntake::new(IntakeLimits::of_few(sockets)),
             links: LinkIntake::new(most_handshakes(memory, sockets)),
         }
