Play seeded mixes of crowds in the tests

Cause: the tests played one shape each; a crowd that is mixed at callers, operators and links was played by hand only. Change: three seeds of 6 s each, by the command itself, which fails over given bounds of memory and descriptors.

--- a/crates/bench/src/crowd/arguments.rs
+++ b/crates/bench/src/crowd/arguments.rs
@@ -24,6 +24,12 @@
     /// Id of the process whose memory and descriptors are watched.
     #[bpaf(argument("ID"), optional)]
     pub process: Option<u32>,
+    /// Most memory of the process, in MB of 2^20 bytes; the command fails if it has more.
+    #[bpaf(argument("MB"), optional)]
+    pub max_memory_mb: Option<u64>,
+    /// Most descriptors of the process; the command fails if it has more.
+    #[bpaf(argument("COUNT"), optional)]
+    pub max_descriptors: Option<usize>,
     /// File with the requests of the clients; those of the contract `letters` of the demo
     /// without it.
     #[bpaf(argument("FILE"), optional)]
--- a/crates/bench/src/crowd/run_crowd.rs
+++ b/crates/bench/src/crowd/run_crowd.rs
@@ -33,8 +33,8 @@
 /// ordinary callers were answered.
 ///
 /// # Errors
-/// Returns an error if the requests cannot be read, the process ended, or no ordinary
-/// caller was answered.
+/// Returns an error if the requests cannot be read, the process ended or took more than it
+/// may, or no ordinary caller was answered.
 pub async fn run(arguments: CrowdArguments) -> io::Result<()> {
     let requests: Rc<dyn ClientRequests> = match &arguments.requests {
         Some(path) => Rc::new(RequestsFile::read(path)?),
@@ -120,21 +120,30 @@
 }
 
 impl Watched {
+    /// Prints what was seen; returns an error that names everything that must not be.
     fn report(&self, arguments: &CrowdArguments) -> io::Result<()> {
+        let (kilobytes, descriptors) = (self.highest.memory_kilobytes, self.highest.descriptors);
         println!("ordinary callers: {}", self.answers);
-        if arguments.process.is_some() {
-            println!(
-                "highest: {} kB resident, {} descriptors",
-                self.highest.memory_kilobytes, self.highest.descriptors
-            );
-            if !self.is_running {
-                return Err(io::Error::other("the process ended"));
-            }
-        }
-        if self.answers.served + self.answers.refused == 0 {
-            return Err(io::Error::other("no ordinary caller was answered"));
+        println!("highest: {kilobytes} kB resident, {descriptors} descriptors");
+        let has_answer = self.answers.served + self.answers.refused > 0;
+        let max_kilobytes = arguments.max_memory_mb.map(|mb| mb << 10);
+        let faults = [
+            (arguments.process.is_some() && !self.is_running).then_some("the process ended"),
+            (!has_answer).then_some("no ordinary caller was answered"),
+            max_kilobytes
+                .is_some_and(|max| kilobytes > max)
+                .then_some("the process took too much memory"),
+            arguments
+                .max_descriptors
+                .is_some_and(|max| descriptors > max)
+                .then_some("the process took too many descriptors"),
+        ];
+        let faults: Vec<_> = faults.into_iter().flatten().collect();
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(io::Error::other(faults.join("; ")))
         }
-        Ok(())
     }
 }
 
--- a/crates/bench/tests/crowds.rs
+++ b/crates/bench/tests/crowds.rs
@@ -40,6 +40,9 @@
 /// Most lines that a process may log about a crowd.
 const MAX_LOG_LINES: usize = 100;
 
+/// How long a mix of crowds stays, in seconds.
+const MIX_SECONDS: u64 = 6;
+
 /// Interval at which the size of the process is read.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -83,27 +86,69 @@
 #[case::extensions_of_operators(Target::Operators, Shape::EndlessExtensionOfRefused)]
 #[case::extensions_of_agent(Target::AgentOperators, Shape::EndlessExtensionOfRefused)]
 fn a_crowd_leaves_a_process_within_its_machine(#[case] target: Target, #[case] shape: Shape) {
-    let settings = format!(
-        "limits:\n  body_size: {LONGEST_BODY}B\nmachine:\n  memory: {MEMORY_KILOBYTES}KiB\n"
-    );
-    play(target, shape, settings);
+    play(target, shape, memory_settings());
+}
+
+/// Plays drawn mixes of all shapes at callers, operators and links, from fixed seeds; by
+/// hand the command plays more clients for longer.
+#[rstest]
+fn mixes_of_crowds_leave_an_entry_within_its_machine(#[values(1, 2, 3)] seed: u64) {
+    let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    block_on(async move {
+        let site = start_site(memory_settings()).await;
+        let plan = &site.plan;
+        let arguments = [
+            format!("--seed={seed}"),
+            format!("--clients={CLIENTS}"),
+            format!("--seconds={MIX_SECONDS}"),
+            format!("--callers={}", plan.callers_address(0)),
+            format!("--also={}", plan.entry_operators_address(0)),
+            format!("--also={}", plan.links_address(0)),
+            format!("--process={}", site.entries[0].id()),
+            format!("--max-memory-mb={}", MEMORY_KILOBYTES / 1_024),
+            format!("--max-descriptors={}", DESCRIPTORS - FREE_DESCRIPTORS),
+        ];
+        let arguments = ["crowd".to_owned()].into_iter().chain(arguments);
+        let mut crowd = SiteProcess::start("crowd", "chestnutrun-bench", arguments, site.folder())
+            .expect("the crowd starts");
+        while crowd.exit_status().is_none() {
+            sleep(SAMPLE_INTERVAL).await;
+        }
+        let report = std::fs::read_to_string(crowd.log()).unwrap_or_default();
+        println!("{report}");
+        let is_good = crowd.exit_status().is_some_and(|status| status.success());
+        site.close();
+        assert!(is_good, "{report}");
+    });
+    drop(turn);
+}
+
+/// Returns settings of an entry with little memory.
+fn memory_settings() -> String {
+    format!("limits:\n  body_size: {LONGEST_BODY}B\nmachine:\n  memory: {MEMORY_KILOBYTES}KiB\n")
+}
+
+/// Starts a site of one entry and one endpoint with the contract of the callers.
+async fn start_site(settings: String) -> Site {
+    let plan = SitePlan::builder()
+        .entries(1)
+        .endpoints(1)
+        .descriptors(DESCRIPTORS)
+        .entry_settings(settings)
+        .build();
+    let site = Site::start(plan).await.expect("the site starts");
+    let contract = Site::contract("letters").in_flight_limit(8).build();
+    let contract = contract.expect("the contract is valid");
+    let created = site.create_contract(&contract).await;
+    created.expect("the contract comes into force");
+    site
 }
 
 /// Plays a crowd against a site with further settings of its entry, and checks what holds.
 fn play(target: Target, shape: Shape, settings: String) {
     let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     block_on(async move {
-        let plan = SitePlan::builder()
-            .entries(1)
-            .endpoints(1)
-            .descriptors(DESCRIPTORS)
-            .entry_settings(settings)
-            .build();
-        let mut site = Site::start(plan).await.expect("the site starts");
-        let contract = Site::contract("letters").in_flight_limit(8).build();
-        let contract = contract.expect("the contract is valid");
-        let created = site.create_contract(&contract).await;
-        created.expect("the contract comes into force");
+        let mut site = start_site(settings).await;
         let (process, to) = match target {
             Target::Callers => (&site.entries[0], site.plan.callers_address(0)),
             Target::Operators => (&site.entries[0], site.plan.entry_operators_address(0)),
