Say what part of the memory stays for a process's own work

Cause: the comment still said half; links before their handshake have an eighth now. Change: the comment, and one constant that nobody else uses is private. Measured: nothing; no behaviour changes.

--- a/crates/decisions/src/intake/intake_limits.rs
+++ b/crates/decisions/src/intake/intake_limits.rs
@@ -9,7 +9,7 @@
 /// a handshake, and a record in each direction.
 pub const TLS_BYTES: usize = 96 * 1024;
 
-/// Part of the memory that connections may take; half of it stays for the process's own
+/// Part of the memory that connections may take; three eighths stay for the process's own
 /// work, since what the allocator keeps counts too.
 const CONNECTIONS_PART: (usize, usize) = (3, 8);
 
@@ -31,7 +31,7 @@
 const HANDSHAKES_MEMORY_PART: (usize, usize) = (1, 8);
 
 /// Most memory that such a link takes, in bytes: the longest head of its handshake.
-pub const HANDSHAKE_BYTES: usize = 64 * 1024;
+const HANDSHAKE_BYTES: usize = 64 * 1024;
 
 /// Longest body that may use the part of the budget kept for short ones, in bytes; four
 /// times the longest ordinary submission.
--- a/crates/decisions/src/intake/mod.rs
+++ b/crates/decisions/src/intake/mod.rs
@@ -10,9 +10,6 @@
 
 pub use {
     handshakes::Handshakes,
-    intake_limits::{
-        CONNECTION_BYTES, HANDSHAKE_BYTES, IntakeLimits, SHORT_BODY_BYTES, TLS_BYTES,
-        most_handshakes,
-    },
+    intake_limits::{CONNECTION_BYTES, IntakeLimits, SHORT_BODY_BYTES, TLS_BYTES, most_handshakes},
     intake_machine::{Admission, ConnectionId, Intake, IntakeAction},
 };
