--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod late_leave;
+mod late_stops;
 
 use crate::{Verdict, record::Record};
 use std::{io::Result, time::Duration};
@@ -8,6 +9,7 @@
 pub fn run(case: &str, record: &Record, has_trouble: bool) -> Result<Verdict> {
     match case {
         "late-leave" => late_leave::run(record, has_trouble),
+        "late-stops" => late_stops::run(record, has_trouble),
         _ => Ok(Verdict::CouldNotRun),
     }
 }
