Review case 13: a cancelled job starts after all processes were killed

Tried on loopback: all processes are killed right after a cancel was acknowledged and start again after 1.5 s; a copy of the submission arrives 6.5 s after the acknowledgement.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -2,6 +2,7 @@
 
 mod late_leave;
 mod late_stops;
+mod lost_cancel;
 
 use crate::{Verdict, record::Record};
 use std::{io::Result, time::Duration};
@@ -10,6 +11,7 @@
     match case {
         "late-leave" => late_leave::run(record, has_trouble),
         "late-stops" => late_stops::run(record, has_trouble),
+        "lost-cancel" => lost_cancel::run(record, has_trouble),
         _ => Ok(Verdict::CouldNotRun),
     }
 }
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -274,6 +274,19 @@
         ));
         answer
     }
+
+    /// Cancels a job; returns the status and body of the answer.
+    pub fn delete(&self, number: u8, id: &str) -> std::io::Result<(u16, String)> {
+        self.record
+            .say(&format!("client: DELETE {id} at edge-{number}"));
+        let path = format!("{PREFIX}{id}");
+        let headers = [("Host", HOST)];
+        let second = Duration::from_secs(1);
+        let answer = call(self.at(number, 8161), "DELETE", &path, &headers, "", second);
+        self.record
+            .say(&format!("client: DELETE {id} is answered {answer:?}"));
+        answer
+    }
 }
 
 impl Drop for Site {
