Review case 13: runs that a restarted executor took are given up while they work

Tried on loopback: one of 11 executors crashes and starts again under its id after 50 ms, its first heartbeat after 1.5 s; the agent is calm.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,7 +4,7 @@
 for program in target/release/chestnutrun-platform target/review-3/standin-3; do
     [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-timeout --kill-after=5 110 target/review-3/standin-3 lost-cancel "${1:-review/13/record.txt}"
+timeout --kill-after=5 110 target/review-3/standin-3 quick-restart "${1:-review/13/record.txt}"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -3,6 +3,7 @@
 mod late_leave;
 mod late_stops;
 mod lost_cancel;
+mod quick_restart;
 
 use crate::{Verdict, record::Record};
 use std::{io::Result, time::Duration};
@@ -12,6 +13,7 @@
         "late-leave" => late_leave::run(record, has_trouble),
         "late-stops" => late_stops::run(record, has_trouble),
         "lost-cancel" => lost_cancel::run(record, has_trouble),
+        "quick-restart" => quick_restart::run(record, has_trouble),
         _ => Ok(Verdict::CouldNotRun),
     }
 }
--- a/review/standins-3/executor.rs
+++ b/review/standins-3/executor.rs
@@ -7,7 +7,7 @@
 };
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc, Condvar, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -86,6 +86,17 @@
 
 impl Executor {
     pub fn start(conf: Conf, record: &Record) -> std::io::Result<Self> {
+        Self::start_as(conf, record, None, Duration::ZERO)
+    }
+
+    /// Starts a life on a listener that its supervisor kept open, with its first heartbeat
+    /// after a while.
+    pub fn start_as(
+        conf: Conf,
+        record: &Record,
+        listener: Option<TcpListener>,
+        first_heartbeat: Duration,
+    ) -> std::io::Result<Self> {
         let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let life = Arc::new(Life {
             born: since.unwrap_or_default().as_millis() as u64,
@@ -104,7 +115,10 @@
             let life = life.clone();
             Arc::new(move |request: Request| life.answer(&request))
         };
-        let server = Server::start(life.conf.listen, handler)?;
+        let server = match listener {
+            Some(listener) => Server::start_on(listener, handler)?,
+            None => Server::start(life.conf.listen, handler)?,
+        };
         record.say(&format!(
             "{} begins to run, born {}, labels {:?}",
             life.conf.id, life.born, life.conf.labels
@@ -118,6 +132,7 @@
         });
         let beating = life.clone();
         thread::spawn(move || {
+            thread::sleep(first_heartbeat);
             while !beating.is_over.load(Ordering::SeqCst)
                 && !beating.is_leaving.load(Ordering::SeqCst)
             {
@@ -166,7 +181,12 @@
     }
 
     /// Ends the process: all that runs terminates, and connections close.
-    pub fn end(mut self, how: &str) {
+    pub fn end(self, how: &str) {
+        drop(self.end_keeping_listener(how));
+    }
+
+    /// Ends the process; the listener stays open for the next one.
+    pub fn end_keeping_listener(mut self, how: &str) -> Option<TcpListener> {
         self.life.is_over.store(true, Ordering::SeqCst);
         let mut state = self.life.state.lock().unwrap();
         let life = &self.life;
@@ -176,8 +196,9 @@
         }
         drop(state);
         self.life.changed.notify_all();
-        self.server.stop();
+        let listener = self.server.stop();
         life_over(&self.life, how);
+        listener
     }
 }
 
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -66,12 +66,19 @@
     stopped: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<TcpStream>>>,
     accepting: Option<thread::JoinHandle<()>>,
+    listener: Option<TcpListener>,
 }
 
 impl Server {
     pub fn start(address: SocketAddr, handler: Handler) -> std::io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
+        Self::start_on(listener, handler)
+    }
+
+    /// Serves on a listener that was kept open while the process started again.
+    pub fn start_on(listener: TcpListener, handler: Handler) -> std::io::Result<Self> {
+        let kept = listener.try_clone()?;
         let stopped = Arc::new(AtomicBool::new(false));
         let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let (flag, streams) = (stopped.clone(), open.clone());
@@ -95,11 +102,12 @@
             stopped,
             open,
             accepting: Some(accepting),
+            listener: Some(kept),
         })
     }
 
-    /// Closes the listener and all connections.
-    pub fn stop(&mut self) {
+    /// Closes all connections; returns the listener, which closes when it is dropped.
+    pub fn stop(&mut self) -> Option<TcpListener> {
         self.stopped.store(true, Ordering::SeqCst);
         if let Some(accepting) = self.accepting.take() {
             let _ = accepting.join();
@@ -107,6 +115,7 @@
         for stream in self.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
+        self.listener.take()
     }
 }
 
