Review case 15: agents start steps of a cancelled job for an entry that is cut off

Tried on loopback: one entry of three is partitioned from the other two for 5.5 s, another one acknowledges the cancel.

--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod holder_cut;
 mod late_leave;
 mod late_stops;
 mod lost_cancel;
@@ -14,6 +15,7 @@
         "late-stops" => late_stops::run(record, has_trouble),
         "lost-cancel" => lost_cancel::run(record, has_trouble),
         "quick-restart" => quick_restart::run(record, has_trouble),
+        "holder-cut" => holder_cut::run(record, has_trouble),
         _ => Ok(Verdict::CouldNotRun),
     }
 }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -6,6 +6,7 @@
 mod executor;
 mod http;
 mod json;
+mod link_proxy;
 mod proxy;
 mod record;
 mod site;
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -180,9 +180,23 @@
 
     /// Starts the entry of machine `number`.
     pub fn entry(&self, number: u8, seeds: &[u8]) -> std::io::Result<Process> {
+        self.start_entry(number, seeds, "")
+    }
+
+    /// Starts the entry of machine `number`, which others link to at this address.
+    pub fn entry_behind(
+        &self,
+        number: u8,
+        seeds: &[u8],
+        links: SocketAddr,
+    ) -> std::io::Result<Process> {
+        self.start_entry(number, seeds, &format!("announced_links: \"{links}\"\n"))
+    }
+
+    fn start_entry(&self, number: u8, seeds: &[u8], extra: &str) -> std::io::Result<Process> {
         let name = format!("edge-{number}");
         let settings = format!(
-            "{}role:\n  callers: \"{}\"\n  ready: \"{}\"\n  executors: \"{}\"\n",
+            "{}{extra}role:\n  callers: \"{}\"\n  ready: \"{}\"\n  executors: \"{}\"\n",
             self.common(&name, number, seeds, 260),
             self.at(number, 8161),
             self.at(number, 8167),
