Control a restarted endpoint from the first list that it answers

An endpoint that crashed ran again under its id within 50 ms and took starts meant for its earlier incarnation. The agent dropped the list that the new incarnation answered, went on to ask for leases on the old clock, which the new one grants for its longest time, and took the runs for lapsed after 663 ms. Its log shows the starts, nothing for 1.27 s, then the ends. Change: a list that another incarnation answers makes that one the present endpoint: runs are stopped there under a higher token and end by its own lists; it gets no task until its heartbeat tells its kind. A clock far behind the estimate counts as a restart. Leases by orders to an earlier incarnation count with the longest one. The simulated endpoint of that test now names the incarnation that answers, as a real list does.

--- a/crates/decisions/src/guard/endpoint_clock.rs
+++ b/crates/decisions/src/guard/endpoint_clock.rs
@@ -1,6 +1,9 @@
 //! Estimate of an endpoint's clock and the end of the lease of its runs.
 
-use std::time::{Duration, Instant};
+use {
+    crate::timing::{LONGEST_LEASE, ORDER_TIMEOUT},
+    std::time::{Duration, Instant},
+};
 
 /// Time on an endpoint's clock, counted from the start of the endpoint's process.
 pub type EndpointTime = Duration;
@@ -18,6 +21,9 @@
     leases_end_at: Option<Instant>,
     /// Whether the endpoint itself answered with a reading.
     is_confirmed: bool,
+    /// Whether the endpoint may have carried out orders to an earlier incarnation, whose
+    /// clock was ahead, and granted its longest lease.
+    may_hold_earlier_leases: bool,
 }
 
 impl EndpointClock {
@@ -30,9 +36,16 @@
             received_at: now,
             leases_end_at: None,
             is_confirmed: false,
+            may_hold_earlier_leases: false,
         }
     }
 
+    /// Counts on leases by orders to an earlier incarnation, from the first answer on: until
+    /// then such an order may still arrive.
+    pub fn expect_earlier_leases(&mut self) {
+        self.may_hold_earlier_leases = true;
+    }
+
     /// Returns whether the endpoint itself answered with a reading. Before that no lease
     /// may be asked for: it could last longer than the agent counts on.
     #[must_use]
@@ -44,9 +57,18 @@
     ///
     /// A reading that was delayed on its way is behind the current estimate and
     /// is ignored, unless the stored reading is older than a second.
+    ///
+    /// A reading that is further behind than an answer can be late is the clock of a later
+    /// incarnation, which has carried out an order to the earlier one.
     pub fn update(&mut self, now: Instant, reading: EndpointTime) {
+        let estimate = self.earliest_time(now);
+        let is_restarted = self.is_confirmed && reading + ORDER_TIMEOUT < estimate;
+        if is_restarted || std::mem::take(&mut self.may_hold_earlier_leases) {
+            self.count_lease(now, LONGEST_LEASE);
+        }
         if !self.is_confirmed
-            || reading > self.earliest_time(now)
+            || is_restarted
+            || reading > estimate
             || now.saturating_duration_since(self.received_at) > Duration::from_secs(1)
         {
             self.reading = reading;
@@ -66,13 +88,18 @@
     /// Extends the lease to `length` from `now`; returns its end on the
     /// endpoint's clock.
     pub fn extend_lease(&mut self, now: Instant, length: Duration) -> EndpointTime {
+        self.count_lease(now, length);
+        self.earliest_time(now) + length
+    }
+
+    /// Counts on a lease of this length on the endpoint's clock, which may be slow.
+    fn count_lease(&mut self, now: Instant, length: Duration) {
         let longest = length * 100 / SLOWEST_CLOCK_PERCENT;
         self.leases_end_at = self.leases_end_at.max(Some(now + longest));
-        self.earliest_time(now) + length
     }
 
-    /// Returns when every requested lease is over, also on a slow clock; none
-    /// before the first request.
+    /// Returns when every lease is over, also on a slow clock; none before the endpoint
+    /// answered and before the first request.
     #[must_use]
     pub fn leases_end_at(&self) -> Option<Instant> {
         self.leases_end_at
--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         guard::{
-            Announcement, Answer, GuardAction, GuardMachine, GuardMessage, OrderFault,
+            Announcement, Answer, EndpointTime, GuardAction, GuardMachine, GuardMessage,
+            OrderFault,
             endpoint_state::{EndpointState, ProcessState},
             run::{Phase, Run, RunKey},
         },
@@ -31,7 +32,7 @@
                 return;
             }
             if is_same_id {
-                self.replace_endpoint(now, announcement);
+                self.replace_endpoint(now, EndpointState::new(now, announcement));
             } else {
                 endpoint.keep_successor(announcement);
             }
@@ -41,8 +42,9 @@
         // order the announcements arrive.
         let starts_leaving = announcement.leaving && !endpoint.is_leaving;
         endpoint.is_leaving |= announcement.leaving;
-        let is_newest = endpoint.order.accept(announcement.sequence);
-        let is_changed = is_newest && endpoint.info != announcement.info;
+        let is_first = !endpoint.is_announced();
+        let is_newest = endpoint.accept_announcement(announcement.sequence);
+        let is_changed = is_first || is_newest && endpoint.info != announcement.info;
         if is_changed {
             endpoint.info = announcement.info;
         }
@@ -69,28 +71,49 @@
         let is_gone = endpoint.process == ProcessState::Superseded
             || !(may_run || endpoint.is_responsive(now));
         if is_gone && let Some(successor) = endpoint.successor.take() {
-            self.replace_endpoint(now, successor);
+            self.replace_endpoint(now, EndpointState::new(now, successor));
         }
     }
 
+    /// Switches to another incarnation of the endpoint, which answered an order and has not
+    /// announced itself. It may have taken starts that were sent to the earlier one.
+    pub(super) fn adopt_incarnation(
+        &mut self,
+        now: Instant,
+        incarnation: Incarnation,
+        reading: EndpointTime,
+    ) {
+        let Some(endpoint) = &self.endpoint else {
+            return;
+        };
+        let info = EndpointInfo {
+            incarnation,
+            ..endpoint.info.clone()
+        };
+        self.replace_endpoint(now, EndpointState::unannounced(now, info, reading));
+        self.mark_stale();
+        self.send_immediate_list(now);
+    }
+
     /// Switches to another endpoint, or to a new incarnation of the same one.
     ///
     /// A new incarnation of the same endpoint may receive orders that were sent
     /// to the earlier one. Every started run is therefore stopped there, under a
     /// higher token that fences orders still on their way.
-    fn replace_endpoint(&mut self, now: Instant, announcement: Announcement) {
+    fn replace_endpoint(&mut self, now: Instant, mut next: EndpointState) {
         let is_same_id = self
             .endpoint
             .as_ref()
-            .is_some_and(|endpoint| endpoint.info.endpoint == announcement.info.endpoint);
+            .is_some_and(|endpoint| endpoint.info.endpoint == next.info.endpoint);
         self.record_crash(now);
         if is_same_id {
+            next.clock.expect_earlier_leases();
             self.return_waiting(now);
         } else {
             self.end_all_runs(now);
         }
-        self.record_endpoint_event(&announcement.info, "replaced");
-        self.endpoint = Some(EndpointState::new(now, announcement));
+        self.record_endpoint_event(&next.info, "replaced");
+        self.endpoint = Some(next);
         self.token += NUMBER_STEP;
         for key in self.runs.keys_where(|_| true) {
             if let Some(run) = self.runs.get_mut(&key) {
@@ -196,6 +219,12 @@
         self.mark_stale();
     }
 
+    /// Whether this is the incarnation that orders are sent to now.
+    pub(super) fn is_present(&self, incarnation: Incarnation) -> bool {
+        let endpoint = self.endpoint.as_ref();
+        endpoint.is_some_and(|endpoint| endpoint.info.incarnation == incarnation)
+    }
+
     /// Updates the endpoint's clock from an answer; returns whether the answer
     /// is from the current incarnation.
     pub(super) fn update_clock<T>(
@@ -204,12 +233,12 @@
         incarnation: Incarnation,
         answer: &Answer<T>,
     ) -> bool {
+        if !self.is_present(incarnation) {
+            return false;
+        }
         let Some(endpoint) = &mut self.endpoint else {
             return false;
         };
-        if endpoint.info.incarnation != incarnation {
-            return false;
-        }
         let process = endpoint.process;
         match answer {
             Answer::Done(clock, _) | Answer::Refused(Some(clock), _) => {
@@ -242,9 +271,11 @@
             .map(|run| run.key.clone())
     }
 
-    /// Returns the endpoint as reported to entries; none until it is clean.
+    /// Returns the endpoint as reported to entries; none until it is clean and has
+    /// announced itself.
     pub(super) fn clean_endpoint_info(&self) -> Option<EndpointInfo> {
-        let clean = self.endpoint.as_ref().filter(|endpoint| endpoint.is_clean);
+        let clean = self.endpoint.as_ref();
+        let clean = clean.filter(|endpoint| endpoint.is_clean && endpoint.is_announced());
         clean.map(|endpoint| endpoint.info.clone())
     }
 
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         guard::{
-            Announcement, EndNumber, EndpointClock, EndpointHealth,
+            Announcement, EndNumber, EndpointClock, EndpointHealth, EndpointTime,
             announcement_order::AnnouncementOrder,
         },
         timing::{ENDPOINT_SILENCE_LIMIT, FAILING_PAUSE, IMMEDIATE_LIST_AFTER},
@@ -37,7 +37,7 @@
     Present,
     /// No connection was made for the last order.
     Unreachable,
-    /// A later incarnation answers that has not announced itself yet.
+    /// Another endpoint answers at the address.
     Superseded,
 }
 
@@ -46,8 +46,8 @@
 pub(crate) struct EndpointState {
     pub(crate) info: EndpointInfo,
     pub(crate) clock: EndpointClock,
-    /// Tells late announcements from new ones.
-    pub(crate) order: AnnouncementOrder,
+    /// Tells late announcements from new ones; none until the incarnation announced itself.
+    pub(crate) order: Option<AnnouncementOrder>,
     pub(crate) health: EndpointHealth,
     pub(crate) is_leaving: bool,
     pub(crate) process: ProcessState,
@@ -78,11 +78,21 @@
 impl EndpointState {
     pub(crate) fn new(now: Instant, announcement: Announcement) -> Self {
         Self {
-            info: announcement.info,
-            clock: EndpointClock::announced(now, announcement.clock),
-            order: AnnouncementOrder::new(announcement.sequence),
-            health: EndpointHealth::default(),
+            order: Some(AnnouncementOrder::new(announcement.sequence)),
             is_leaving: announcement.leaving,
+            ..Self::unannounced(now, announcement.info, announcement.clock)
+        }
+    }
+
+    /// Creates the state of an incarnation that answers orders before it announces itself.
+    /// Its labels and capacity are unknown, so that it gets no tasks.
+    pub(crate) fn unannounced(now: Instant, info: EndpointInfo, reading: EndpointTime) -> Self {
+        Self {
+            info,
+            clock: EndpointClock::announced(now, reading),
+            order: None,
+            health: EndpointHealth::default(),
+            is_leaving: false,
             process: ProcessState::Present,
             successor: None,
             lapsed: Vec::new(),
@@ -97,6 +107,20 @@
         }
     }
 
+    /// Whether this incarnation announced itself.
+    pub(crate) fn is_announced(&self) -> bool {
+        self.order.is_some()
+    }
+
+    /// Records an announcement of this incarnation; returns whether it is a new one.
+    pub(crate) fn accept_announcement(&mut self, sequence: u64) -> bool {
+        if let Some(order) = &mut self.order {
+            return order.accept(sequence);
+        }
+        self.order = Some(AnnouncementOrder::new(sequence));
+        true
+    }
+
     /// Keeps the announcement of another endpoint. One that leaves does not stay after all.
     pub(crate) fn keep_successor(&mut self, mut announcement: Announcement) {
         let known = self.successor.as_ref().filter(|known| {
@@ -129,7 +153,7 @@
     }
 
     /// Whether the endpoint's process has ended: none accepts connections at its
-    /// address, or a later incarnation does.
+    /// address, or that of another endpoint does.
     pub(crate) fn has_ended(&self) -> bool {
         self.process != ProcessState::Present
     }
@@ -170,6 +194,7 @@
     /// Whether tasks may start at the endpoint.
     pub(crate) fn takes_work(&self, now: Instant) -> bool {
         self.is_clean
+            && self.is_announced()
             && !self.is_leaving
             && self.process == ProcessState::Present
             && self.is_responsive(now)
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -24,6 +24,12 @@
         order: &ListOrder,
         answer: Answer<ListReply>,
     ) {
+        if let Answer::Refused(Some(reading), OrderFault::AnsweredBy(other)) = answer {
+            if self.is_present(incarnation) {
+                self.adopt_incarnation(now, other, reading);
+            }
+            return;
+        }
         let is_present = self.update_clock(now, incarnation, &answer);
         let Some(endpoint) = self.endpoint.as_mut().filter(|_| is_present) else {
             return;
@@ -51,9 +57,9 @@
         }
     }
 
-    /// Sends a list with a higher token to a later incarnation that has not
-    /// announced itself. That incarnation then refuses delayed orders that were
-    /// sent to the earlier one.
+    /// Sends a list with a higher token to the endpoint that answers at the address. If it
+    /// is an incarnation of the known one, it then refuses delayed orders that were sent to
+    /// the earlier incarnation.
     fn fence_late_orders(&mut self, now: Instant) {
         let Some(endpoint) = &mut self.endpoint else {
             return;
--- a/crates/decisions/src/guard/messages.rs
+++ b/crates/decisions/src/guard/messages.rs
@@ -81,8 +81,11 @@
     Unhealthy,
     /// No connection to the endpoint was made, so that the order was not sent.
     Unreachable,
-    /// Another incarnation of the endpoint answered.
+    /// Another endpoint answered at the address: the order named one that is not there.
     OtherIncarnation,
+    /// This incarnation of the endpoint answered, which has the id that the order named
+    /// and was not the one that the order was for.
+    AnsweredBy(Incarnation),
     /// The endpoint rejected the order as invalid.
     Invalid,
 }
@@ -99,6 +102,7 @@
             Self::Unhealthy => "unwell",
             Self::Unreachable => "unreachable",
             Self::OtherIncarnation => "other-incarnation",
+            Self::AnsweredBy(_) => "answered-by-other",
             Self::Invalid => "invalid",
         }
     }
--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -57,7 +57,10 @@
                 }
             }
             OrderFault::LeaseOver => {}
-            OrderFault::Unhealthy | OrderFault::Unreachable | OrderFault::OtherIncarnation => {
+            OrderFault::Unhealthy
+            | OrderFault::Unreachable
+            | OrderFault::OtherIncarnation
+            | OrderFault::AnsweredBy(_) => {
                 self.record_endpoint_failure();
                 self.finish_run(now, key, EndKind::NotStarted);
                 return;
--- a/crates/decisions/tests/best_effort_site/endpoint.rs
+++ b/crates/decisions/tests/best_effort_site/endpoint.rs
@@ -221,9 +221,9 @@
             self.renew_lease(at, u64::try_from(until.as_millis()).unwrap());
         }
         if order.incarnation != self.incarnation {
-            // A real list carries the start time of the endpoint, which the agent
-            // compares; this refusal stands for its check.
-            return Answer::Refused(None, OrderFault::OtherIncarnation);
+            // A real list carries the start time of the endpoint.
+            let clock = Duration::from_millis(self.clock(at));
+            return Answer::Refused(Some(clock), OrderFault::AnsweredBy(self.incarnation));
         }
         let running = self.runs.iter().map(|(run, running)| ListedRun {
             task: running.task.clone(),
--- /dev/null
+++ b/crates/decisions/tests/guard_restarts.rs
@@ -0,0 +1,111 @@
+//! Tests of what a guard does after its endpoint started again under its id.
+
+mod guard_site;
+mod restart_site;
+
+use {
+    chestnutrun_decisions::guard::{
+        Answer, GuardAction, GuardInput, GuardMachine, GuardMessage, ListReply, OrderFault,
+        StartOrder,
+    },
+    chestnutrun_types::EndpointInfo,
+    guard_site::{
+        announcement, assign_one, assignment, guard_with_runs, later, list_sent_at, lists, starts,
+        usable_guard,
+    },
+    restart_site::SecondLife,
+    rstest::rstest,
+    std::time::{Duration, Instant},
+};
+
+/// Passes the answers of the second life to a guard whose entry lives, and the guard's
+/// orders to the second life, until the guard has no run left; returns when that is.
+fn play(guard: &mut GuardMachine, begin: Instant, start: StartOrder, life: &mut SecondLife) -> u64 {
+    let mut orders = vec![GuardAction::Start(start)];
+    for at in 1..4_000 {
+        let now = later(begin, at);
+        let answers: Vec<_> = orders
+            .drain(..)
+            .filter_map(|order| life.carry_out(at, order))
+            .collect();
+        for answer in answers {
+            orders.extend(guard.handle(now, answer));
+        }
+        if guard.tasks() == 0 {
+            return at;
+        }
+        orders.extend(guard.handle(now, GuardInput::Proven("entry".into(), now.instant)));
+        orders.extend(guard.handle(now, GuardInput::Tick));
+    }
+    panic!("the guard keeps the run: {guard:?}");
+}
+
+/// An endpoint started again within milliseconds under its id, and took a start. Its agent
+/// saw the new incarnation, neither listed nor stopped the run, and took it for lapsed while
+/// it worked, so that it started elsewhere. The lease is counted on another clock, and the
+/// endpoint grants its longest one.
+#[rstest]
+#[case::the_new_incarnation_lists_its_runs(true)]
+#[case::only_starts_and_stops_are_answered(false)]
+fn a_run_that_a_restarted_endpoint_took_ends_while_it_works(#[case] answers_lists: bool) {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 0));
+    let mut life = SecondLife::new(answers_lists);
+    let ended_at = play(&mut guard, begin, start, &mut life);
+    assert!(!life.is_at_work(ended_at), "at {ended_at} ms: {life:?}");
+}
+
+/// The guard gave up a run that a restarted endpoint had taken only when the endpoint
+/// announced itself; until then the run worked for nobody.
+#[rstest]
+fn a_run_that_a_restarted_endpoint_took_is_not_stopped_before_its_heartbeat() {
+    let begin = Instant::now();
+    let mut guard = usable_guard(begin);
+    let start = assign_one(&mut guard, later(begin, 0));
+    let ended_at = play(&mut guard, begin, start, &mut SecondLife::new(true));
+    assert!(ended_at < 200, "stopped and reported after {ended_at} ms");
+}
+
+/// Returns the endpoint as told to entries.
+fn told(actions: &[GuardAction]) -> Vec<Option<&EndpointInfo>> {
+    let told = actions.iter().filter_map(|action| match action {
+        GuardAction::Send(_, GuardMessage::Endpoint(info)) => Some(info.as_ref()),
+        _ => None,
+    });
+    told.collect()
+}
+
+/// A restarted endpoint may be of another kind, which only its announcement tells: it gets no
+/// task before, and is told to entries with its new labels.
+#[rstest]
+fn a_restarted_endpoint_gets_a_task_before_it_announced_its_kind() {
+    let begin = Instant::now();
+    let (mut guard, _) = guard_with_runs(begin, 1);
+    let now = later(begin, 10);
+    let clock = Duration::from_millis(5);
+    let by_other = Answer::Refused(Some(clock), OrderFault::AnsweredBy(2));
+    let seen = guard.handle(now, GuardInput::Listed(1, list_sent_at(now), by_other));
+    assert_eq!(told(&seen), [None]);
+    let is_stop = |action: &&GuardAction| matches!(action, GuardAction::Stop(_));
+    assert_eq!(seen.iter().filter(is_stop).count(), 1, "{seen:?}");
+    let order = lists(seen).remove(0);
+    assert_eq!((order.incarnation, order.until), (2, None));
+    let empty = Answer::Done(clock, ListReply::default());
+    guard.handle(later(begin, 11), GuardInput::Listed(2, order, empty));
+    let assigned = GuardInput::Assign("entry".into(), assignment(1, "00000000000000a1"));
+    let actions = guard.handle(later(begin, 12), assigned);
+    assert!(starts(&actions).is_empty(), "{actions:?}");
+    // An earlier announcement of the first incarnation arrives late.
+    let late = guard.handle(later(begin, 13), GuardInput::Announced(announcement()));
+    assert!(told(&late).is_empty(), "{late:?}");
+    let mut again = announcement();
+    again.info.incarnation = 2;
+    again.info.labels = vec!["other-kind".into()];
+    let expected = again.info.clone();
+    let actions = guard.handle(later(begin, 14), GuardInput::Announced(again));
+    assert_eq!(told(&actions), [Some(&expected)]);
+    let assigned = GuardInput::Assign("entry".into(), assignment(2, "00000000000000a2"));
+    let actions = guard.handle(later(begin, 15), assigned);
+    assert_eq!(starts(&actions).len(), 1, "{actions:?}");
+}
--- /dev/null
+++ b/crates/decisions/tests/restart_site/mod.rs
@@ -0,0 +1,5 @@
+//! An endpoint that started again under its id.
+
+mod second_life;
+
+pub use second_life::SecondLife;
