Let the report of an endpoint's end no longer end its runs

The DELETE of an earlier incarnation, held up by a cut, arrived while the present one worked under the same id. The agent's log shows 'gone' and the ends of all runs within a millisecond of it: the message names only an id, and was taken for the end of the incarnation that the agent knew. Change: the report stops further starts and asks for a list; an endpoint that answers it and did not announce its end is used again. Runs end by lists or with their leases, and the endpoint is forgotten once it no longer answers and no run may be left there.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -125,24 +125,40 @@
         self.send_endpoint_info();
     }
 
+    /// Handles the endpoint's word that it ends. It names no incarnation and may arrive late,
+    /// so that it ends no run: a list tells whether the present incarnation is still there.
     pub(super) fn handle_endpoint_end(&mut self, now: Instant, ended: &EndpointId) {
-        if self
-            .endpoint
-            .as_ref()
-            .is_some_and(|e| e.info.endpoint == *ended)
-        {
-            self.end_all_runs(now);
-            // An order that is still on its way may reach a later incarnation, which
-            // then refuses it for its token.
-            self.token += NUMBER_STEP;
-            if let Some(ended) = self.endpoint.take() {
-                self.record_endpoint_event(&ended.info, "gone");
-                if let Some(successor) = ended.successor {
-                    self.handle_announcement(now, successor);
-                }
+        let named = self.endpoint.as_mut();
+        let Some(endpoint) = named.filter(|endpoint| endpoint.info.endpoint == *ended) else {
+            return;
+        };
+        endpoint.end_reported_at = Some(now);
+        let info = endpoint.info.clone();
+        self.record_endpoint_event(&info, "reported-end");
+        self.return_waiting(now);
+        self.mark_stale();
+        self.send_immediate_list(now);
+    }
+
+    /// Forgets an endpoint that reported its end, once it no longer answers and no run may
+    /// be left there.
+    pub(super) fn forget_ended_endpoint(&mut self, now: Instant) {
+        let may_run = self.runs.iter().any(Run::is_at_endpoint);
+        let known = self.endpoint.as_ref();
+        if may_run || known.is_none_or(|endpoint| !endpoint.is_gone(now)) {
+            return;
+        }
+        // An order that is still on its way may reach a later incarnation, which
+        // then refuses it for its token.
+        self.token += NUMBER_STEP;
+        if let Some(ended) = self.endpoint.take() {
+            self.record_endpoint_event(&ended.info, "gone");
+            if let Some(successor) = ended.successor {
+                self.handle_announcement(now, successor);
             }
-            self.send_endpoint_info();
         }
+        self.send_endpoint_info();
+        self.mark_stale();
     }
 
     /// Ends every run, waiting or started, because the endpoint no longer exists.
@@ -196,7 +212,7 @@
     /// Records and reports that the endpoint crashed, with the tasks that were there. An
     /// endpoint that had announced its end did not crash.
     fn record_crash(&mut self, now: Instant) {
-        let Some(endpoint) = self.endpoint.as_mut().filter(|e| !e.is_leaving) else {
+        let Some(endpoint) = self.endpoint.as_mut().filter(|e| !e.is_ending()) else {
             return;
         };
         let mut at_work = std::mem::take(&mut endpoint.lapsed);
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -50,6 +50,8 @@
     pub(crate) order: Option<AnnouncementOrder>,
     pub(crate) health: EndpointHealth,
     pub(crate) is_leaving: bool,
+    /// When the endpoint said that it ends; none once it answered a later list.
+    pub(crate) end_reported_at: Option<Instant>,
     pub(crate) process: ProcessState,
     /// Announcement of another endpoint, taken once this one no longer answers.
     pub(crate) successor: Option<Announcement>,
@@ -93,6 +95,7 @@
             order: None,
             health: EndpointHealth::default(),
             is_leaving: false,
+            end_reported_at: None,
             process: ProcessState::Present,
             successor: None,
             lapsed: Vec::new(),
@@ -158,6 +161,28 @@
         self.process != ProcessState::Present
     }
 
+    /// Whether the endpoint announced or reported its end.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.is_leaving || self.end_reported_at.is_some()
+    }
+
+    /// Whether the endpoint reported its end and no longer answers.
+    pub(crate) fn is_gone(&self, now: Instant) -> bool {
+        self.end_reported_at.is_some() && (self.has_ended() || !self.is_responsive(now))
+    }
+
+    /// Records that the endpoint answered a list that was requested at this moment. One that
+    /// did not announce its end is there to stay: the report of its end was that of an
+    /// earlier incarnation. Returns whether that is news.
+    pub(crate) fn disprove_end(&mut self, requested_at: Instant) -> bool {
+        let is_later = self.end_reported_at.is_some_and(|at| at <= requested_at);
+        let is_disproved = is_later && !self.is_leaving;
+        if is_disproved {
+            self.end_reported_at = None;
+        }
+        is_disproved
+    }
+
     /// Whether the endpoint answered within `ENDPOINT_SILENCE_LIMIT`.
     pub(crate) fn is_responsive(&self, now: Instant) -> bool {
         now < self.last_contact_at + ENDPOINT_SILENCE_LIMIT
@@ -195,7 +220,7 @@
     pub(crate) fn takes_work(&self, now: Instant) -> bool {
         self.is_clean
             && self.is_announced()
-            && !self.is_leaving
+            && !self.is_ending()
             && self.process == ProcessState::Present
             && self.is_responsive(now)
     }
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -84,6 +84,7 @@
             GuardInput::Leave => self.leave(at),
             GuardInput::Tick => self.tick(at),
         }
+        self.forget_ended_endpoint(at);
         self.adopt_successor(at);
         self.start_waiting(at);
         self.send_long_poll(at);
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -41,6 +41,11 @@
         }
         match answer {
             Answer::Done(_, reply) => {
+                if endpoint.disprove_end(order.sent_at) {
+                    let info = endpoint.info.clone();
+                    self.record_endpoint_event(&info, "still-there");
+                    self.mark_stale();
+                }
                 self.apply_list(now, order.sent_at, &reply);
             }
             Answer::Refused(_, OrderFault::StaleToken) => self.token += NUMBER_STEP,
--- a/crates/decisions/tests/guard_restarts.rs
+++ b/crates/decisions/tests/guard_restarts.rs
@@ -5,10 +5,10 @@
 
 use {
     chestnutrun_decisions::guard::{
-        Answer, GuardAction, GuardInput, GuardMachine, GuardMessage, ListReply, OrderFault,
-        StartOrder,
+        Answer, GuardAction, GuardInput, GuardMachine, GuardMessage, ListOrder, ListReply,
+        ListedRun, OrderFault, StartOrder,
     },
-    chestnutrun_types::EndpointInfo,
+    chestnutrun_types::{EndpointInfo, RunNumber, TaskId, TaskPosition},
     guard_site::{
         announcement, assign_one, assignment, guard_with_runs, later, list_sent_at, lists, starts,
         usable_guard,
@@ -109,3 +109,94 @@
     let actions = guard.handle(later(begin, 15), assigned);
     assert_eq!(starts(&actions).len(), 1, "{actions:?}");
 }
+
+/// Returns a list of the runs that `guard_with_runs` began.
+fn list_of(runs: &[RunNumber]) -> ListReply {
+    let running = (1..).zip(runs).map(|(job, run): (u64, _)| ListedRun {
+        task: TaskId {
+            job: format!("{job:016x}").into(),
+            at: TaskPosition { step: 0, index: 0 },
+        },
+        run: *run,
+        percent: 10,
+    });
+    ListReply {
+        running: running.collect(),
+        ended: Vec::new(),
+    }
+}
+
+fn report_end(guard: &mut GuardMachine, begin: Instant, at: u64) -> ListOrder {
+    let ended = GuardInput::EndpointEnded("endpoint".into());
+    let actions = guard.handle(later(begin, at), ended);
+    lists(actions).pop().expect("the endpoint is asked")
+}
+
+/// A report of an endpoint's end, held up on its way, arrived when the endpoint ran again
+/// under its id. All its runs were taken for ended and started elsewhere while they worked.
+#[rstest]
+#[case::that_stays(false)]
+#[case::that_leaves_too(true)]
+fn a_late_report_of_an_end_ends_the_runs_of_a_later_incarnation(#[case] is_leaving: bool) {
+    let begin = Instant::now();
+    let (mut guard, runs) = guard_with_runs(begin, 2);
+    let mut newest = announcement();
+    (newest.sequence, newest.leaving) = (2, is_leaving);
+    guard.handle(later(begin, 5), GuardInput::Announced(newest));
+    let order = report_end(&mut guard, begin, 10);
+    assert_eq!(
+        guard.tasks(),
+        2,
+        "the report does not say which incarnation ended"
+    );
+    assert!(!guard.takes_work(later(begin, 10).instant));
+    let answer = Answer::Done(Duration::from_millis(1_011), list_of(&runs));
+    guard.handle(later(begin, 11), GuardInput::Listed(1, order, answer));
+    assert_eq!(guard.tasks(), 2);
+    assert_eq!(guard.takes_work(later(begin, 11).instant), !is_leaving);
+}
+
+/// An answer that was requested before the endpoint reported its end was taken for a sign
+/// that the endpoint stays.
+#[rstest]
+fn an_earlier_list_makes_an_endpoint_usable_that_reported_its_end() {
+    let begin = Instant::now();
+    let (mut guard, runs) = guard_with_runs(begin, 1);
+    report_end(&mut guard, begin, 10);
+    let answer = Answer::Done(Duration::from_millis(1_011), list_of(&runs));
+    let earlier = list_sent_at(later(begin, 9));
+    guard.handle(later(begin, 11), GuardInput::Listed(1, earlier, answer));
+    assert!(!guard.takes_work(later(begin, 11).instant));
+}
+
+/// Runs at an endpoint that ended as planned end with their leases, not before, and entries
+/// are then told that it is gone. Without runs they are told at once.
+#[rstest]
+#[case::with_runs(2, 600, 700)]
+#[case::without_runs(0, 0, 100)]
+fn an_endpoint_that_ended_is_forgotten_before_its_leases_are_over_or_never(
+    #[case] runs: u64,
+    #[case] after: u64,
+    #[case] before: u64,
+) {
+    let begin = Instant::now();
+    let (mut guard, _) = guard_with_runs(begin, runs);
+    let mut orders = vec![report_end(&mut guard, begin, 10)];
+    for at in 11..1_000 {
+        let now = later(begin, at);
+        let mut actions = Vec::new();
+        for order in orders.drain(..) {
+            let refused = Answer::Refused(None, OrderFault::Unreachable);
+            actions.extend(guard.handle(now, GuardInput::Listed(1, order, refused)));
+        }
+        actions.extend(guard.handle(now, GuardInput::Proven("entry".into(), now.instant)));
+        actions.extend(guard.handle(now, GuardInput::Tick));
+        if !told(&actions).is_empty() {
+            assert_eq!((told(&actions), guard.tasks()), (vec![None], 0));
+            assert!((after..before).contains(&at), "at {at} ms");
+            return;
+        }
+        orders.extend(lists(actions));
+    }
+    panic!("the endpoint is still known: {guard:?}");
+}
