End runs that an entry no longer holds with their lease at the latest

An entry was killed while half of the orders were carried out late. Traced for one task: killed at 11,898 ms, the stop sent at 12,499 ms and again each 120 ms, without an answer for 740 ms, while the agent renewed the lease of the endpoint, which is one for all its runs, for tasks of another entry; the task began elsewhere at 13,206 ms and ended at the first endpoint at 13,236 ms. The sum of proof and lease, on which the 1.3 s until a caller returns count, bounded nothing then. Change: a run that its entry gave up, or whose entry is lost, has a moment by which it must be over, and no list or start extends the endpoint's lease beyond the earliest of them; the same for runs that the agent does not know. With less than half of a lease left, nothing starts there. Where a stop stays unanswered for some 660 ms, tasks of others at the same endpoint end with it.

--- a/crates/decisions/src/guard/endpoint_clock.rs
+++ b/crates/decisions/src/guard/endpoint_clock.rs
@@ -85,17 +85,18 @@
         self.reading + age * SLOWEST_CLOCK_PERCENT / 100
     }
 
-    /// Extends the lease to `length` from `now`; returns its end on the
-    /// endpoint's clock.
-    pub fn extend_lease(&mut self, now: Instant, length: Duration) -> EndpointTime {
+    /// Extends the lease to `length` from `now`, but to end by `limit` also on a slow clock;
+    /// returns its end on the endpoint's clock. A lease never gets shorter.
+    pub fn extend_lease(&mut self, now: Instant, length: Duration, limit: Instant) -> EndpointTime {
+        let left = limit.saturating_duration_since(now) * SLOWEST_CLOCK_PERCENT / 100;
+        let length = length.min(left);
         self.count_lease(now, length);
         self.earliest_time(now) + length
     }
 
     /// Counts on a lease of this length on the endpoint's clock, which may be slow.
     fn count_lease(&mut self, now: Instant, length: Duration) {
-        let longest = length * 100 / SLOWEST_CLOCK_PERCENT;
-        self.leases_end_at = self.leases_end_at.max(Some(now + longest));
+        self.leases_end_at = self.leases_end_at.max(Some(latest_end(now, length)));
     }
 
     /// Returns when every lease is over, also on a slow clock; none before the endpoint
@@ -105,3 +106,8 @@
         self.leases_end_at
     }
 }
+
+/// Returns when a lease of this length from `now` ends at the latest, on the slowest clock.
+pub(crate) fn latest_end(now: Instant, length: Duration) -> Instant {
+    now + length * 100 / SLOWEST_CLOCK_PERCENT
+}
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -59,6 +59,9 @@
     pub(crate) lapsed: Vec<TaskId>,
     /// Whether the endpoint is known to run only tasks that this agent started.
     pub(crate) is_clean: bool,
+    /// When runs that this agent does not know must be over; none unless the last list
+    /// shows one.
+    pub(crate) foreign_over_by: Option<Instant>,
     /// Number of the newest end that was processed.
     pub(crate) last_end: EndNumber,
     /// When the endpoint last answered or announced itself.
@@ -100,6 +103,7 @@
             successor: None,
             lapsed: Vec::new(),
             is_clean: false,
+            foreign_over_by: None,
             last_end: 0,
             last_contact_at: now,
             lists: ListsInFlight::default(),
--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -4,10 +4,11 @@
     crate::{
         guard::{
             GuardAction, GuardMachine, GuardMessage,
+            endpoint_clock::latest_end,
             entry_state::{EntryState, ReportedRoom},
             run::{Phase, Run, RunKey},
         },
-        timing::millis,
+        timing::{ENTRY_PROOF_LIMIT, RUN_LEASE, millis},
     },
     chestnutrun_types::{
         AgentUpdate, Assignment, DecisionEvent, EndKind, EntryId, Incarnation, Now, Reserve,
@@ -125,6 +126,7 @@
                 resend_stop_at: None,
                 has_crashed: false,
                 end_kind: EndKind::NotStarted,
+                over_by: None,
             });
         }
         self.stop_older_attempts(now, entry, assignment.id);
@@ -154,6 +156,7 @@
             .runs
             .keys_where(|run| !is_new(run) && tasks.contains(&run.task));
         for key in older {
+            self.release_run(&key, latest_end(now, RUN_LEASE));
             self.stop_run(now, &key, EndKind::Stopped, "submitted-again");
         }
     }
@@ -166,6 +169,7 @@
                 && revocation.assignments.contains(&run.key.assignment)
         });
         for key in revoked {
+            self.release_run(&key, latest_end(now, RUN_LEASE));
             self.stop_run(now, &key, EndKind::Stopped, "revoked");
         }
     }
@@ -173,10 +177,10 @@
     /// Stops the tasks of an entry that is dead or was replaced.
     pub(super) fn drop_entry(&mut self, now: Instant, entry: &EntryId) {
         let keys = self.runs.keys_where(|run| run.key.entry == *entry);
-        if let Some(state) = self.entries.get(entry)
-            && !keys.is_empty()
-        {
-            let proven_at = state.proven_at.unwrap_or(now);
+        let state = self.entries.get(entry);
+        let proven_at = state.and_then(|state| state.proven_at).unwrap_or(now);
+        let over_by = latest_end(now.min(proven_at + ENTRY_PROOF_LIMIT), RUN_LEASE);
+        if !keys.is_empty() {
             let event = DecisionEvent::EntryLost {
                 entry: entry.clone(),
                 tasks: keys.len(),
@@ -185,6 +189,7 @@
             self.record_decision(event);
         }
         for key in keys {
+            self.release_run(&key, over_by);
             self.stop_run(now, &key, EndKind::Stopped, "entry-lost");
         }
     }
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -115,7 +115,10 @@
     #[must_use]
     pub fn takes_work(&self, now: Instant) -> bool {
         let endpoint = self.endpoint.as_ref();
-        !self.is_leaving && self.obstacle().is_none() && endpoint.is_some_and(|e| e.takes_work(now))
+        !self.is_leaving
+            && self.obstacle().is_none()
+            && endpoint.is_some_and(|e| e.takes_work(now))
+            && !self.is_lease_short(now)
     }
 
     /// Returns the next deadline: a delayed update, a task that has waited too
@@ -159,7 +162,7 @@
             .endpoint
             .as_ref()
             .is_some_and(|e| !e.is_responsive(now));
-        if is_unresponsive {
+        if is_unresponsive || self.is_lease_short(now) {
             self.return_waiting(now);
             self.mark_stale();
         }
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -4,6 +4,7 @@
     crate::{
         guard::{
             Answer, GuardAction, GuardMachine, ListOrder, ListReply, ListedEnd, OrderFault, RunEnd,
+            endpoint_clock::latest_end,
             endpoint_state::ProcessState,
             run::{Phase, Run},
         },
@@ -102,6 +103,12 @@
         let Some(endpoint) = &mut self.endpoint else {
             return;
         };
+        endpoint.foreign_over_by = if is_clean {
+            None
+        } else {
+            let over_by = latest_end(now, RUN_LEASE);
+            endpoint.foreign_over_by.or(Some(over_by))
+        };
         if is_clean && !endpoint.is_clean {
             endpoint.is_clean = true;
             let info = endpoint.info.clone();
@@ -228,6 +235,7 @@
             .runs
             .iter()
             .any(|run| run.is_at_endpoint() && self.is_of_proven_entry(now, run));
+        let limit = self.lease_limit(now);
         let Some(endpoint) = &mut self.endpoint else {
             return;
         };
@@ -236,7 +244,7 @@
         // were lost with the endpoint's process.
         let is_there = endpoint.is_responsive(now) && endpoint.process != ProcessState::Unreachable;
         let until = (holds_runs && is_there && endpoint.clock.is_confirmed())
-            .then(|| endpoint.clock.extend_lease(now, RUN_LEASE));
+            .then(|| endpoint.clock.extend_lease(now, RUN_LEASE, limit));
         self.actions.push(GuardAction::List(ListOrder {
             endpoint: endpoint.info.endpoint.clone(),
             incarnation: endpoint.info.incarnation,
--- a/crates/decisions/src/guard/mod.rs
+++ b/crates/decisions/src/guard/mod.rs
@@ -11,6 +11,7 @@
 mod evacuation;
 mod guard_machine;
 mod health;
+mod leases;
 mod lists;
 mod messages;
 mod run;
--- a/crates/decisions/src/guard/run.rs
+++ b/crates/decisions/src/guard/run.rs
@@ -69,6 +69,9 @@
     pub(crate) has_crashed: bool,
     /// Kind of end to report once the run is no longer listed.
     pub(crate) end_kind: EndKind,
+    /// When the run must be over, whether or not its stop is answered: its entry gave it up
+    /// or was lost, and another entry may start the task. None while its entry holds it.
+    pub(crate) over_by: Option<Instant>,
 }
 
 impl Run {
@@ -82,6 +85,11 @@
         matches!(self.phase, Phase::Stopping | Phase::StopAnswered(_))
     }
 
+    /// Records that the entry no longer holds the run, which must be over by this moment.
+    pub(crate) fn release(&mut self, over_by: Instant) {
+        self.over_by = Some(self.over_by.map_or(over_by, |at| at.min(over_by)));
+    }
+
     /// Returns when a delayed stop is sent again; none unless the run is stopping.
     pub(crate) fn resend_stop_at(&self) -> Option<Instant> {
         self.resend_stop_at
--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -125,6 +125,7 @@
         let number = self.next_run;
         self.next_run += 1;
         self.runs.assign_number(key, number);
+        let limit = self.lease_limit(now);
         let (Some(run), Some(endpoint)) = (self.runs.get_mut(key), &mut self.endpoint) else {
             return;
         };
@@ -136,7 +137,7 @@
             task: run.task.clone(),
             run: number,
             payload: run.payload.clone(),
-            until: endpoint.clock.extend_lease(now, RUN_LEASE),
+            until: endpoint.clock.extend_lease(now, RUN_LEASE, limit),
             token: self.token,
             answer_by: now + ORDER_TIMEOUT,
         }));
--- a/crates/decisions/tests/guard_restarts.rs
+++ b/crates/decisions/tests/guard_runs/restarts.rs
@@ -1,19 +1,18 @@
 //! Tests of what a guard does after its endpoint started again under its id.
 
-mod guard_site;
-mod restart_site;
-
 use {
+    crate::{
+        guard_site::{
+            announcement, assign_one, assignment, guard_with_runs, later, list_sent_at, lists,
+            starts, usable_guard,
+        },
+        second_life::SecondLife,
+    },
     chestnutrun_decisions::guard::{
         Answer, GuardAction, GuardInput, GuardMachine, GuardMessage, ListOrder, ListReply,
         ListedRun, OrderFault, StartOrder,
     },
     chestnutrun_types::{EndpointInfo, RunNumber, TaskId, TaskPosition},
-    guard_site::{
-        announcement, assign_one, assignment, guard_with_runs, later, list_sent_at, lists, starts,
-        usable_guard,
-    },
-    restart_site::SecondLife,
     rstest::rstest,
     std::time::{Duration, Instant},
 };
