Have every end of a run name its proof

Change: finish_run takes a RunOver, which only the functions of run_over.rs make, each from one kind of proof; the seeded site gets endpoints that start again within milliseconds while half of the orders stay unanswered and messages of earlier incarnations come late and twice.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -7,6 +7,7 @@
             OrderFault,
             endpoint_state::{EndpointState, ProcessState},
             run::{Phase, Run, RunKey},
+            run_over::RunOver,
         },
         timing::NUMBER_STEP,
     },
@@ -101,16 +102,15 @@
     /// to the earlier one. Every started run is therefore stopped there, under a
     /// higher token that fences orders still on their way.
     fn replace_endpoint(&mut self, now: Instant, mut next: EndpointState) {
-        let is_same_id = self
-            .endpoint
-            .as_ref()
-            .is_some_and(|endpoint| endpoint.info.endpoint == next.info.endpoint);
+        let earlier = self.endpoint.as_ref();
+        let replaced = earlier.filter(|earlier| earlier.info.endpoint != next.info.endpoint);
+        let replaced = replaced.map(|earlier| earlier.process);
         self.record_crash(now);
-        if is_same_id {
+        if let Some(process) = replaced {
+            self.end_runs_of_replaced(now, process);
+        } else {
             next.clock.expect_earlier_leases();
             self.return_waiting(now);
-        } else {
-            self.end_all_runs(now);
         }
         self.record_endpoint_event(&next.info, "replaced");
         self.endpoint = Some(next);
@@ -161,19 +161,12 @@
         self.mark_stale();
     }
 
-    /// Ends every run, waiting or started, because the endpoint no longer exists.
-    pub(super) fn end_all_runs(&mut self, now: Instant) {
-        for key in self.runs.keys_where(|_| true) {
-            let is_waiting = self
-                .runs
-                .get_mut(&key)
-                .is_some_and(|run| !run.is_at_endpoint());
-            let kind = if is_waiting {
-                EndKind::NotStarted
-            } else {
-                EndKind::Stopped
-            };
-            self.finish_run(now, &key, kind);
+    /// Ends the runs of an endpoint in whose place another one answers.
+    fn end_runs_of_replaced(&mut self, now: Instant, process: ProcessState) {
+        let is_over =
+            |run: &Run| RunOver::not_sent(run).or_else(|| RunOver::process_ended(run, process));
+        for over in self.runs.over(is_over) {
+            self.finish_run(now, over);
         }
     }
 
@@ -183,10 +176,7 @@
         let Some(endpoint) = &mut self.endpoint else {
             return;
         };
-        if endpoint.clock.leases_end_at().is_none_or(|at| now <= at) {
-            return;
-        }
-        let lapsed = self.runs.keys_where(Run::is_at_endpoint);
+        let lapsed = self.runs.over(|run| RunOver::lapsed(run, now, endpoint));
         if lapsed.is_empty() {
             return;
         }
@@ -203,8 +193,8 @@
                 endpoint.lapsed = tasks;
             }
         }
-        for key in lapsed {
-            self.finish_run(now, &key, EndKind::Stopped);
+        for over in lapsed {
+            self.finish_run(now, over);
         }
         self.mark_stale();
     }
--- a/crates/decisions/src/guard/entry_side.rs
+++ b/crates/decisions/src/guard/entry_side.rs
@@ -7,6 +7,7 @@
             endpoint_clock::latest_end,
             entry_state::{EntryState, ReportedRoom},
             run::{Phase, Run, RunKey},
+            run_over::RunOver,
         },
         timing::{ENTRY_PROOF_LIMIT, RUN_LEASE, millis},
     },
@@ -196,8 +197,9 @@
 
     /// Removes a task that certainly does not run at the endpoint, and queues its
     /// end for its entry.
-    pub(super) fn finish_run(&mut self, now: Instant, key: &RunKey, kind: EndKind) {
-        let Some(run) = self.runs.remove(key) else {
+    pub(super) fn finish_run(&mut self, now: Instant, over: RunOver) {
+        let (key, kind) = over.into_parts();
+        let Some(run) = self.runs.remove(&key) else {
             return;
         };
         let end = run.task_end(now, kind);
@@ -218,7 +220,14 @@
     /// Returns the waiting tasks to their entries as not started.
     pub(super) fn return_waiting(&mut self, now: Instant) {
         for key in self.runs.waiting() {
-            self.finish_run(now, &key, EndKind::NotStarted);
+            self.finish_waiting(now, &key);
+        }
+    }
+
+    /// Ends a task whose start was not sent; others go on.
+    pub(super) fn finish_waiting(&mut self, now: Instant, key: &RunKey) {
+        if let Some(over) = self.runs.get(key).and_then(RunOver::not_sent) {
+            self.finish_run(now, over);
         }
     }
 
--- a/crates/decisions/src/guard/evacuation.rs
+++ b/crates/decisions/src/guard/evacuation.rs
@@ -3,7 +3,6 @@
 
 use {
     crate::{evacuation::ZoneGate, guard::GuardMachine},
-    chestnutrun_types::EndKind,
     std::time::Instant,
 };
 
@@ -36,7 +35,7 @@
         };
         for key in self.runs.waiting() {
             self.record_refused_start(&key, reason);
-            self.finish_run(now, &key, EndKind::NotStarted);
+            self.finish_waiting(now, &key);
         }
     }
 }
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -10,7 +10,7 @@
         },
         timing::ENTRY_PROOF_LIMIT,
     },
-    chestnutrun_types::{DecisionEvent, EndKind, EntryId, Now, RunNumber},
+    chestnutrun_types::{DecisionEvent, EntryId, Now, RunNumber},
     indexmap::IndexMap,
     std::time::Instant,
 };
@@ -156,7 +156,7 @@
             .runs
             .keys_where(|run| matches!(run.phase, Phase::Waiting(by) if by <= now));
         for key in late {
-            self.finish_run(now, &key, EndKind::NotStarted);
+            self.finish_waiting(now, &key);
         }
         let is_unresponsive = self
             .endpoint
--- a/crates/decisions/src/guard/lists.rs
+++ b/crates/decisions/src/guard/lists.rs
@@ -3,10 +3,11 @@
 use {
     crate::{
         guard::{
-            Answer, GuardAction, GuardMachine, ListOrder, ListReply, ListedEnd, OrderFault, RunEnd,
+            Answer, GuardAction, GuardMachine, ListOrder, ListReply, ListedEnd, OrderFault,
             endpoint_clock::latest_end,
             endpoint_state::ProcessState,
             run::{Phase, Run},
+            run_over::RunOver,
         },
         timing::{
             BROKEN_CONNECTION_PAUSE, ENTRY_PROOF_LIMIT, IDLE_LONG_POLL_WAIT, IMMEDIATE_LIST_AFTER,
@@ -126,51 +127,32 @@
             return;
         }
         endpoint.last_end = end.number;
-        let Some(run) = self.runs.get_by_number_mut(end.run) else {
+        let Some(run) = self.runs.get_by_number(end.run) else {
             return;
         };
-        let key = run.key.clone();
-        let kind = match end.how {
-            RunEnd::Done => EndKind::Done,
-            RunEnd::Failed => EndKind::Failed,
-            // A listed run has begun, even if the answer of its start is still missing.
-            RunEnd::Stopped | RunEnd::Lapsed if run.end_kind == EndKind::NotStarted => {
-                EndKind::Stopped
-            }
-            RunEnd::Stopped | RunEnd::Lapsed => run.end_kind,
+        let Some(over) = RunOver::listed(run, end) else {
+            return;
         };
         let expected = run.assigned.expected.as_secs_f32().max(f32::MIN_POSITIVE);
         let ratio = run.run_time(now).as_secs_f32() / expected;
-        match kind {
+        match over.kind() {
             EndKind::Done => endpoint.health.record_completion(ratio),
             EndKind::Failed | EndKind::Stalled => endpoint.record_failed_run(now),
             EndKind::NotStarted | EndKind::Stopped => {}
         }
-        self.finish_run(now, &key, kind);
+        self.finish_run(now, over);
     }
 
-    /// Finishes the runs that are missing from a list. A run counts only if the list
-    /// was requested after the run's last known progress or its answered stop.
+    /// Finishes the runs that are missing from a list.
     pub(super) fn finish_unlisted(
         &mut self,
         now: Instant,
         requested_at: Instant,
         reply: &ListReply,
     ) {
-        let is_listed = |number| reply.running.iter().any(|listed| listed.run == number);
-        let unlisted = self.runs.keys_where(|run| match run.phase {
-            Phase::StopAnswered(at) => at < requested_at && !is_listed(run.number),
-            Phase::Running => {
-                run.progressed_at.is_some_and(|at| at < requested_at) && !is_listed(run.number)
-            }
-            _ => false,
-        });
-        for key in unlisted {
-            let kind = self
-                .runs
-                .get_mut(&key)
-                .map_or(EndKind::Stopped, |run| run.end_kind);
-            self.finish_run(now, &key, kind);
+        let is_over = |run: &Run| RunOver::unlisted(run, requested_at, reply);
+        for over in self.runs.over(is_over) {
+            self.finish_run(now, over);
         }
     }
 
--- a/crates/decisions/src/guard/mod.rs
+++ b/crates/decisions/src/guard/mod.rs
@@ -15,6 +15,7 @@
 mod lists;
 mod messages;
 mod run;
+mod run_over;
 mod runs;
 mod starts;
 mod stops;
--- a/crates/decisions/src/guard/runs.rs
+++ b/crates/decisions/src/guard/runs.rs
@@ -1,7 +1,10 @@
 //! Assigned tasks that have not ended.
 
 use {
-    crate::guard::run::{Phase, Run, RunKey},
+    crate::guard::{
+        run::{Phase, Run, RunKey},
+        run_over::RunOver,
+    },
     chestnutrun_types::{Resources, RunNumber, TaskId},
     indexmap::IndexMap,
     std::time::Instant,
@@ -27,10 +30,19 @@
         self.by_key.insert(run.key.clone(), run);
     }
 
+    pub(crate) fn get(&self, key: &RunKey) -> Option<&Run> {
+        self.by_key.get(key)
+    }
+
     pub(crate) fn get_mut(&mut self, key: &RunKey) -> Option<&mut Run> {
         self.by_key.get_mut(key)
     }
 
+    pub(crate) fn get_by_number(&self, number: RunNumber) -> Option<&Run> {
+        let key = self.by_number.get(&number)?;
+        self.by_key.get(key)
+    }
+
     pub(crate) fn get_by_number_mut(&mut self, number: RunNumber) -> Option<&mut Run> {
         let key = self.by_number.get(&number)?;
         self.by_key.get_mut(key)
@@ -61,6 +73,11 @@
         matching.map(|run| run.key.clone()).collect()
     }
 
+    /// Returns the evidence of the runs for which there is some.
+    pub(crate) fn over(&self, evidence: impl Fn(&Run) -> Option<RunOver>) -> Vec<RunOver> {
+        self.by_key.values().filter_map(evidence).collect()
+    }
+
     /// Returns the keys of the waiting tasks, the most urgent priority first, and
     /// within one the earliest start deadline.
     pub(crate) fn waiting(&self) -> Vec<RunKey> {
--- a/crates/decisions/src/guard/starts.rs
+++ b/crates/decisions/src/guard/starts.rs
@@ -5,6 +5,7 @@
         guard::{
             Answer, GuardAction, GuardMachine, OrderFault, StartOrder,
             run::{Phase, RunKey},
+            run_over::RunOver,
         },
         timing::{ENTRY_PROOF_LIMIT, NO_ROOM_PAUSE, NUMBER_STEP, ORDER_TIMEOUT, RUN_LEASE, millis},
     },
@@ -35,7 +36,8 @@
                 run.progressed_at = Some(now);
                 run.end_kind = EndKind::Stopped;
             }
-            Answer::Unknown => {
+            // What another incarnation answered, it has carried out.
+            Answer::Unknown | Answer::Refused(_, OrderFault::AnsweredBy(_)) => {
                 self.record_refused_start(&key, "no-answer");
                 self.record_endpoint_failure();
                 self.stop_run(now, &key, EndKind::Stopped, "no-answer");
@@ -48,6 +50,8 @@
     }
 
     pub(super) fn handle_start_refusal(&mut self, now: Instant, key: &RunKey, fault: OrderFault) {
+        let over = self.runs.get(key);
+        let over = over.and_then(|run| RunOver::refused(run, fault));
         match fault {
             OrderFault::StaleToken => self.token += NUMBER_STEP,
             OrderFault::OldRun => self.next_run += NUMBER_STEP,
@@ -56,21 +60,14 @@
                     endpoint.full_until = Some(now + NO_ROOM_PAUSE);
                 }
             }
-            OrderFault::LeaseOver => {}
-            OrderFault::Unhealthy
-            | OrderFault::Unreachable
-            | OrderFault::OtherIncarnation
-            | OrderFault::AnsweredBy(_) => {
+            OrderFault::Unhealthy | OrderFault::Unreachable | OrderFault::OtherIncarnation => {
                 self.record_endpoint_failure();
-                self.finish_run(now, key, EndKind::NotStarted);
-                return;
-            }
-            OrderFault::Invalid => {
-                self.finish_run(now, key, EndKind::Failed);
-                return;
             }
+            OrderFault::LeaseOver | OrderFault::Invalid | OrderFault::AnsweredBy(_) => {}
         }
-        if let Some(run) = self.runs.get_mut(key) {
+        if let Some(over) = over {
+            self.finish_run(now, over);
+        } else if let Some(run) = self.runs.get_mut(key) {
             let start_by = run.started_at.unwrap_or(now) + RUN_LEASE;
             run.phase = Phase::Waiting(start_by);
             run.started_at = None;
--- a/crates/decisions/src/guard/stops.rs
+++ b/crates/decisions/src/guard/stops.rs
@@ -62,7 +62,7 @@
             return;
         };
         match run.phase {
-            Phase::Waiting(_) => self.finish_run(now, key, EndKind::NotStarted),
+            Phase::Waiting(_) => self.finish_waiting(now, key),
             Phase::Starting | Phase::Running => {
                 run.phase = Phase::Stopping;
                 run.end_kind = kind;
--- a/crates/decisions/tests/best_effort_orders.rs
+++ b/crates/decisions/tests/best_effort_orders.rs
@@ -47,6 +47,14 @@
     run_seeds(MUTE_REGRESSIONS, Site::with_mute_endpoints);
 }
 
+/// Endpoints start again under their ids within milliseconds, and take orders to their
+/// earlier incarnations while half of the orders stay unanswered. Their agents take runs for
+/// over by a late message of an earlier incarnation, or by a lease on its clock.
+#[test]
+fn runs_at_a_restarted_endpoint_start_elsewhere_while_they_work() {
+    run_seeds([], Site::with_quick_restarts);
+}
+
 fn run_seeds(regressions: impl IntoIterator<Item = u64>, new_site: fn(u64) -> Site) {
     if let Some(seed) = read_env("CHESTNUTRUN_SEED") {
         run(new_site(seed));
--- a/crates/decisions/tests/best_effort_site/events.rs
+++ b/crates/decisions/tests/best_effort_site/events.rs
@@ -8,7 +8,7 @@
         },
         placement::{CallerId, DispatchInput, Dispatcher},
     },
-    chestnutrun_types::{Assignment, BestEffortJob, Revocation},
+    chestnutrun_types::{Assignment, BestEffortJob, EndpointId, Revocation},
     indexmap::IndexMap,
     std::rc::Rc,
 };
@@ -23,6 +23,8 @@
     Fault,
     /// An endpoint stops to answer.
     Mute,
+    /// An endpoint ends and starts again at once.
+    QuickRestart,
     Unfreeze(Node),
     Restart(Node),
     EndpointRestarts(usize),
@@ -57,6 +59,7 @@
     Assign(usize, u64, Assignment),
     Revoke(usize, u64, Revocation),
     Announced(Announcement),
+    EndpointEnded(EndpointId),
     Answered(u64, GuardInput),
     Dispatch(DispatchInput),
 }
--- a/crates/decisions/tests/best_effort_site/faults.rs
+++ b/crates/decisions/tests/best_effort_site/faults.rs
@@ -6,7 +6,8 @@
         events::{Event, Input, Node},
         site::{
             AGENTS, ANNOUNCE_INTERVAL, CALLER_TIMEOUT, ENTRIES, MEAN_FAULT_PAUSE, MEAN_MUTE_PAUSE,
-            PROBE_INTERVAL, RESUBMIT_AFTER, SILENCE_LIMIT, new_agent, new_entry,
+            MEAN_RESTART_PAUSE, PROBE_INTERVAL, RESUBMIT_AFTER, SILENCE_LIMIT, new_agent,
+            new_entry,
         },
     },
     chestnutrun_decisions::placement::{CallerId, DispatchInput},
@@ -56,6 +57,35 @@
         self.schedule(pause, Event::Mute);
     }
 
+    /// Ends an endpoint, which starts again within milliseconds and takes orders before it
+    /// announces itself, and delivers messages of the earlier incarnation late and twice.
+    pub(super) fn restart_endpoint_quickly(&mut self) {
+        let Some(rng) = self.restarts.as_mut().filter(|_| self.has_faults) else {
+            return;
+        };
+        let pause = rng.random_range(1..MEAN_RESTART_PAUSE * 2);
+        let number = rng.random_range(0..AGENTS);
+        let length = rng.random_range(1..60);
+        let half_answered = rng.random_range(0..1_500);
+        let late = [(); 4].map(|()| rng.random_range(1..4_000));
+        self.schedule(pause, Event::QuickRestart);
+        let endpoint = &mut self.endpoints[number];
+        if !endpoint.is_up {
+            return;
+        }
+        let last = endpoint.announce(self.at);
+        let ended = Input::EndpointEnded(last.info.endpoint.clone());
+        let announced = Input::Announced(last);
+        for (delay, message) in late
+            .into_iter()
+            .zip([&announced, &announced, &ended, &ended])
+        {
+            self.send_input(Node::Agent(number), delay, message.clone());
+        }
+        self.half_answered_until = self.at + half_answered;
+        self.endpoint_crash(number, length);
+    }
+
     pub(super) fn endpoint_crash(&mut self, number: usize, length: Millis) {
         if self.endpoints[number].is_up {
             self.endpoints[number].crash(&mut self.judge);
--- a/crates/decisions/tests/best_effort_site/orders.rs
+++ b/crates/decisions/tests/best_effort_site/orders.rs
@@ -66,7 +66,16 @@
             let is_answered = !self.rng.random_bool(self.lost_share);
             (self.rng.random_range(0..3), is_answered)
         };
-        self.schedule(delay, Event::Order(number, run, order(id), is_answered));
+        let Some(rng) = &mut self.restarts else {
+            self.schedule(delay, Event::Order(number, run, order(id), is_answered));
+            return;
+        };
+        let is_half_answered = self.at < self.half_answered_until;
+        let is_lost = is_half_answered && rng.random_bool(0.25);
+        let is_answered = is_answered && !(is_half_answered && rng.random_bool(0.33));
+        if !is_lost {
+            self.schedule(delay, Event::Order(number, run, order(id), is_answered));
+        }
     }
 
     pub(super) fn order_times_out(&mut self, number: usize, run: u64, id: u64) {
--- a/crates/decisions/tests/best_effort_site/site.rs
+++ b/crates/decisions/tests/best_effort_site/site.rs
@@ -33,6 +33,7 @@
 pub(super) const CALLER_TIMEOUT: Millis = 3_000;
 pub(super) const MEAN_FAULT_PAUSE: Millis = 500;
 pub(super) const MEAN_MUTE_PAUSE: Millis = 2_500;
+pub(super) const MEAN_RESTART_PAUSE: Millis = 1_000;
 pub(super) const MEAN_SUBMISSION_PAUSE: Millis = 40;
 pub(super) const COPY_SHARE: f64 = 0.2;
 pub(super) const MAX_COPY_PAUSE: Millis = 400;
@@ -63,6 +64,11 @@
     pub(super) has_late_orders: bool,
     /// Decides when endpoints carry out orders without answering; none always answer.
     pub(super) mutes: Option<StdRng>,
+    /// Decides when endpoints start again within milliseconds, and which orders stay
+    /// unanswered then; none restarts none.
+    pub(super) restarts: Option<StdRng>,
+    /// Until when half of the orders stay unanswered.
+    pub(super) half_answered_until: Millis,
     /// Decides which submissions are repeated while the entry holds the job; none
     /// repeats none.
     pub(super) copies: Option<StdRng>,
@@ -98,6 +104,8 @@
             has_faults: true,
             has_late_orders: true,
             mutes: None,
+            restarts: None,
+            half_answered_until: 0,
             copies: None,
             trace_filter: std::env::var("CHESTNUTRUN_TRACE").ok(),
             judge: Judge::default(),
@@ -141,6 +149,19 @@
         site
     }
 
+    /// Creates a site where endpoints start again within milliseconds, half of the orders
+    /// stay unanswered meanwhile, messages of earlier incarnations arrive late and twice, and
+    /// no order is late.
+    pub fn with_quick_restarts(seed: u64) -> Self {
+        let mut site = Self {
+            restarts: Some(StdRng::seed_from_u64(seed)),
+            has_late_orders: false,
+            ..Self::new(seed)
+        };
+        site.schedule(300, Event::QuickRestart);
+        site
+    }
+
     /// Runs the site with submissions and faults.
     pub fn run(&mut self, length: Millis) {
         let end = self.at + length;
@@ -192,11 +213,13 @@
             Event::SubmitCopy(first) => self.submit_copy(first),
             Event::Fault => self.inject_fault(),
             Event::Mute => self.mute_endpoint(),
+            Event::QuickRestart => self.restart_endpoint_quickly(),
             Event::Unfreeze(node) => self.unfreeze(node),
             Event::Restart(node) => self.restart(node),
             Event::EndpointRestarts(number) => {
                 self.endpoints[number].restart(self.at);
-                let announced_after = self.rng.random_range(1..400);
+                let announced_within = if self.restarts.is_some() { 1_500 } else { 400 };
+                let announced_after = self.rng.random_range(1..announced_within);
                 self.schedule(announced_after, Event::Announce(number));
             }
             Event::Announce(number) => self.announce(number),
@@ -471,6 +494,7 @@
                 GuardInput::Revoke(entry_name(entry), revocation)
             }
             Input::Announced(announcement) => GuardInput::Announced(announcement),
+            Input::EndpointEnded(endpoint) => GuardInput::EndpointEnded(endpoint),
             Input::Answered(order, input) => {
                 if self.agents[number].orders.swap_remove(&order).is_none() {
                     return;
