Count the longest lease for a start that nobody confirmed

An endpoint that started again under its id carries out a start, and all orders stay unanswered: nothing tells the agent of the restart, and it took the run for lapsed after 663 ms, while the new incarnation grants 1 s. Change: a run whose start was neither answered nor listed ends by lapse only after the longest lease, unless the endpoint refuses connections. Measured: guard_runs, nothing_is_answered, red on (reported at 1,270 ms, lease until 1,606 ms), green now.

--- a/crates/decisions/src/guard/endpoint_clock.rs
+++ b/crates/decisions/src/guard/endpoint_clock.rs
@@ -19,6 +19,8 @@
     reading: EndpointTime,
     received_at: Instant,
     leases_end_at: Option<Instant>,
+    /// When a lease was last requested.
+    extended_at: Option<Instant>,
     /// Whether the endpoint itself answered with a reading.
     is_confirmed: bool,
     /// Whether the endpoint may have carried out orders to an earlier incarnation, whose
@@ -35,6 +37,7 @@
             reading,
             received_at: now,
             leases_end_at: None,
+            extended_at: None,
             is_confirmed: false,
             may_hold_earlier_leases: false,
         }
@@ -91,6 +94,7 @@
         let left = limit.saturating_duration_since(now) * SLOWEST_CLOCK_PERCENT / 100;
         let length = length.min(left);
         self.count_lease(now, length);
+        self.extended_at = Some(now);
         self.earliest_time(now) + length
     }
 
@@ -105,6 +109,14 @@
     pub fn leases_end_at(&self) -> Option<Instant> {
         self.leases_end_at
     }
+
+    /// Counterpart of [`Self::leases_end_at`] for a run that a later incarnation may have
+    /// taken, on whose clock each request is for the longest lease.
+    #[must_use]
+    pub fn leases_end_at_any(&self) -> Option<Instant> {
+        let longest = self.extended_at.map(|at| latest_end(at, LONGEST_LEASE));
+        self.leases_end_at.max(longest)
+    }
 }
 
 /// Returns when a lease of this length from `now` ends at the latest, on the slowest clock.
--- a/crates/decisions/src/guard/run.rs
+++ b/crates/decisions/src/guard/run.rs
@@ -80,6 +80,11 @@
         !matches!(self.phase, Phase::Waiting(_))
     }
 
+    /// Whether the endpoint answered the start, or listed the run.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.progressed_at.is_some()
+    }
+
     /// Whether a stop was ordered for the run.
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.phase, Phase::Stopping | Phase::StopAnswered(_))
--- a/crates/decisions/src/guard/run_over.rs
+++ b/crates/decisions/src/guard/run_over.rs
@@ -71,9 +71,15 @@
         is_over.then(|| Self::new(run, run.end_kind))
     }
 
-    /// Every lease that the endpoint may have granted is over.
+    /// Every lease that the endpoint may have granted is over. Where nobody confirmed the
+    /// start, a later incarnation may have taken it, unless none is there.
     pub(crate) fn lapsed(run: &Run, now: Instant, endpoint: &EndpointState) -> Option<Self> {
-        let end = endpoint.clock.leases_end_at();
+        let is_of_known = run.is_confirmed() || endpoint.process == ProcessState::Unreachable;
+        let end = if is_of_known {
+            endpoint.clock.leases_end_at()
+        } else {
+            endpoint.clock.leases_end_at_any()
+        };
         let is_over = end.is_some_and(|at| at < now);
         (run.is_at_endpoint() && is_over).then(|| Self::new(run, EndKind::Stopped))
     }
--- a/crates/decisions/tests/guard_runs/restarts.rs
+++ b/crates/decisions/tests/guard_runs/restarts.rs
@@ -6,7 +6,7 @@
             announcement, assign_one, assignment, guard_with_runs, later, list_sent_at, lists,
             starts, usable_guard,
         },
-        second_life::SecondLife,
+        second_life::{Answering, SecondLife},
     },
     chestnutrun_decisions::guard::{
         Answer, GuardAction, GuardInput, GuardMachine, GuardMessage, ListOrder, ListReply,
@@ -44,13 +44,14 @@
 /// it worked, so that it started elsewhere. The lease is counted on another clock, and the
 /// endpoint grants its longest one.
 #[rstest]
-#[case::the_new_incarnation_lists_its_runs(true)]
-#[case::only_starts_and_stops_are_answered(false)]
-fn a_run_that_a_restarted_endpoint_took_ends_while_it_works(#[case] answers_lists: bool) {
+#[case::the_new_incarnation_lists_its_runs(Answering::All)]
+#[case::only_starts_and_stops_are_answered(Answering::StartsAndStops)]
+#[case::nothing_is_answered(Answering::Nothing)]
+fn a_run_that_a_restarted_endpoint_took_ends_while_it_works(#[case] answering: Answering) {
     let begin = Instant::now();
     let mut guard = usable_guard(begin);
     let start = assign_one(&mut guard, later(begin, 0));
-    let mut life = SecondLife::new(answers_lists);
+    let mut life = SecondLife::new(answering);
     let ended_at = play(&mut guard, begin, start, &mut life);
     assert!(!life.is_at_work(ended_at), "at {ended_at} ms: {life:?}");
 }
@@ -62,7 +63,12 @@
     let begin = Instant::now();
     let mut guard = usable_guard(begin);
     let start = assign_one(&mut guard, later(begin, 0));
-    let ended_at = play(&mut guard, begin, start, &mut SecondLife::new(true));
+    let ended_at = play(
+        &mut guard,
+        begin,
+        start,
+        &mut SecondLife::new(Answering::All),
+    );
     assert!(ended_at < 200, "stopped and reported after {ended_at} ms");
 }
 
--- a/crates/decisions/tests/guard_runs/second_life.rs
+++ b/crates/decisions/tests/guard_runs/second_life.rs
@@ -17,21 +17,28 @@
 /// Incarnation of the second life; the first one has number 1.
 const INCARNATION: Incarnation = 2;
 
+/// Which orders are answered. All are carried out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answering {
+    All,
+    StartsAndStops,
+    Nothing,
+}
+
 /// A later incarnation of the endpoint, which began at 0 and knows nothing of before. Orders
 /// name the endpoint by its id, so that it carries out those to the earlier incarnation.
 #[derive(Debug)]
 pub struct SecondLife {
-    /// Whether list orders are answered.
-    pub answers_lists: bool,
+    answering: Answering,
     token: FencingToken,
     lease_until: Millis,
     run: Option<(TaskId, RunNumber)>,
 }
 
 impl SecondLife {
-    pub fn new(answers_lists: bool) -> Self {
+    pub fn new(answering: Answering) -> Self {
         Self {
-            answers_lists,
+            answering,
             token: 0,
             lease_until: 0,
             run: None,
@@ -52,25 +59,29 @@
                 self.renew(at, order.until);
                 self.run = Some((order.task, order.run));
                 let done = Answer::Done(clock, ());
-                Some(GuardInput::Started(order.incarnation, order.run, done))
+                self.answer(GuardInput::Started(order.incarnation, order.run, done))
             }
             GuardAction::Stop(order) => {
                 self.accept(order.token)?;
                 self.run.take_if(|(_, run)| *run == order.run);
                 let done = Answer::Done(clock, ());
-                Some(GuardInput::Stopped(order.incarnation, order.run, done))
+                self.answer(GuardInput::Stopped(order.incarnation, order.run, done))
             }
             GuardAction::List(order) => {
                 self.accept(order.token)?;
                 if let Some(until) = order.until {
                     self.renew(at, until);
                 }
-                self.answers_lists.then(|| self.list(at, order))
+                (self.answering == Answering::All).then(|| self.list(at, order))
             }
             GuardAction::Send(..) | GuardAction::Record(_) => None,
         }
     }
 
+    fn answer(&self, input: GuardInput) -> Option<GuardInput> {
+        (self.answering != Answering::Nothing).then_some(input)
+    }
+
     fn list(&self, at: Millis, order: ListOrder) -> GuardInput {
         let clock = Duration::from_millis(at);
         let running = self.run.iter().filter(|_| self.is_at_work(at));
