Log runs that ended since a stop was unanswered apart from silence

Cause: all runs of an endpoint may now end because a stop stays unanswered; the log called that 'silent', as for an endpoint that is gone.

--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -184,7 +184,13 @@
         endpoint.health.record_failure();
         let info = endpoint.info.clone();
         let has_ended = endpoint.has_ended();
-        self.record_endpoint_event(&info, "silent");
+        // One that answers lost its lease to a stop that it left unanswered.
+        let news = if endpoint.is_responsive(now) {
+            "lease-withheld"
+        } else {
+            "silent"
+        };
+        self.record_endpoint_event(&info, news);
         if has_ended {
             self.record_crash(now);
         } else {
--- a/crates/decisions/tests/guard_runs/leases.rs
+++ b/crates/decisions/tests/guard_runs/leases.rs
@@ -35,6 +35,7 @@
     assert!(!site.is_at_work(1), "{site:?}");
     site.play(100);
     assert!(site.is_idle(), "the ends of both tasks are known: {site:?}");
+    assert_eq!(site.news.last().map(String::as_str), Some("lease-withheld"));
 }
 
 /// The same for a task whose entry lives and whose caller is gone, also while tasks of others
--- a/crates/decisions/tests/guard_runs/slow_site.rs
+++ b/crates/decisions/tests/guard_runs/slow_site.rs
@@ -6,7 +6,7 @@
     chestnutrun_decisions::guard::{
         Answer, GuardAction, GuardInput, GuardMachine, ListOrder, ListReply, ListedRun, StopOrder,
     },
-    chestnutrun_types::{AssignmentId, Now, Revocation, RunNumber, TaskId},
+    chestnutrun_types::{AssignmentId, DecisionEvent, Now, Revocation, RunNumber, TaskId},
     indexmap::IndexMap,
     std::time::{Duration, Instant},
 };
@@ -34,6 +34,8 @@
 pub struct SlowSite {
     /// Whether the endpoint carries out and answers stops.
     pub answers_stops: bool,
+    /// What the guard logged of its endpoint.
+    pub news: Vec<String>,
     begin: Instant,
     at: Millis,
     guard: GuardMachine,
@@ -51,6 +53,7 @@
         let begin = Instant::now();
         let mut site = Self {
             answers_stops: true,
+            news: Vec::new(),
             begin,
             at: 0,
             guard: usable_guard(begin),
@@ -166,6 +169,9 @@
                 let wait = u64::try_from(order.wait.as_millis()).unwrap();
                 self.polls.push((self.at + wait, order));
             }
+            GuardAction::Record(DecisionEvent::EndpointLifecycle { news, .. }) => {
+                self.news.push(news.to_string());
+            }
             GuardAction::Send(..) | GuardAction::Record(_) => {}
         }
     }
