Let runs lapse at a restarted endpoint that is lost before it answers

Runs that a later incarnation may have taken wait for its lists; if it was lost before its first answer, no lease had been asked for on its clock, and they never ended. So it was before for one that had announced itself. Change: the longest lease counts from the replacement on, and as before again from the first answer.

--- a/crates/decisions/src/guard/endpoint_clock.rs
+++ b/crates/decisions/src/guard/endpoint_clock.rs
@@ -43,10 +43,11 @@
         }
     }
 
-    /// Counts on leases by orders to an earlier incarnation, from the first answer on: until
-    /// then such an order may still arrive.
-    pub fn expect_earlier_leases(&mut self) {
+    /// Counts on leases by orders to an earlier incarnation that was replaced at `now`, and
+    /// again from the first answer on: until then such an order may still arrive.
+    pub fn expect_earlier_leases(&mut self, now: Instant) {
         self.may_hold_earlier_leases = true;
+        self.count_lease(now + ORDER_TIMEOUT, LONGEST_LEASE);
     }
 
     /// Returns whether the endpoint itself answered with a reading. Before that no lease
--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -109,7 +109,7 @@
         if let Some(process) = replaced {
             self.end_runs_of_replaced(now, process);
         } else {
-            next.clock.expect_earlier_leases();
+            next.clock.expect_earlier_leases(now);
             self.return_waiting(now);
         }
         self.record_endpoint_event(&next.info, "replaced");
--- a/crates/decisions/tests/guard_runs/restarts.rs
+++ b/crates/decisions/tests/guard_runs/restarts.rs
@@ -72,6 +72,35 @@
     assert!(ended_at < 200, "stopped and reported after {ended_at} ms");
 }
 
+/// A restarted endpoint took a run and was gone before it answered another order. No lease
+/// had been asked for on its clock, so that its runs never counted as lapsed.
+#[rstest]
+#[case::that_announced_itself(true)]
+#[case::that_answered_a_list(false)]
+fn a_run_is_kept_for_ever_after_a_restarted_endpoint_was_lost(#[case] is_announced: bool) {
+    let begin = Instant::now();
+    let (mut guard, _) = guard_with_runs(begin, 2);
+    let now = later(begin, 10);
+    let mut again = announcement();
+    again.info.incarnation = 2;
+    let by_other = Answer::Refused(Some(Duration::ZERO), OrderFault::AnsweredBy(2));
+    let seen = if is_announced {
+        GuardInput::Announced(again)
+    } else {
+        GuardInput::Listed(1, list_sent_at(now), by_other)
+    };
+    guard.handle(now, seen);
+    assert_eq!(
+        guard.tasks(),
+        2,
+        "the new incarnation may have taken the starts"
+    );
+    for at in 11..1_300 {
+        guard.handle(later(begin, at), GuardInput::Tick);
+    }
+    assert_eq!(guard.tasks(), 0);
+}
+
 /// Returns the endpoint as told to entries.
 fn told(actions: &[GuardAction]) -> Vec<Option<&EndpointInfo>> {
     let told = actions.iter().filter_map(|action| match action {
