Let tasks of the site with quick restarts outlast the pause of their callers

Cause: its tasks ended within 400 ms, too soon for runs that go on at an endpoint while their callers come back.

--- a/crates/decisions/tests/best_effort_site/site.rs
+++ b/crates/decisions/tests/best_effort_site/site.rs
@@ -34,6 +34,8 @@
 pub(super) const MEAN_FAULT_PAUSE: Millis = 500;
 pub(super) const MEAN_MUTE_PAUSE: Millis = 2_500;
 pub(super) const MEAN_RESTART_PAUSE: Millis = 1_000;
+/// Share of the tasks that outlast the pause of their callers.
+pub(super) const LONG_SHARE: f64 = 0.1;
 pub(super) const MEAN_SUBMISSION_PAUSE: Millis = 40;
 pub(super) const COPY_SHARE: f64 = 0.2;
 pub(super) const MAX_COPY_PAUSE: Millis = 400;
@@ -149,9 +151,9 @@
         site
     }
 
-    /// Creates a site where endpoints start again within milliseconds, half of the orders
-    /// stay unanswered meanwhile, messages of earlier incarnations arrive late and twice, and
-    /// no order is late.
+    /// Creates a site where some tasks outlast the pause of their callers, endpoints start
+    /// again within milliseconds, half of the orders stay unanswered meanwhile, messages of
+    /// earlier incarnations arrive late and twice, and no order is late.
     pub fn with_quick_restarts(seed: u64) -> Self {
         let mut site = Self {
             restarts: Some(StdRng::seed_from_u64(seed)),
@@ -246,7 +248,12 @@
         self.schedule(pause, Event::Submit);
         let id: JobId = format!("{:016x}", self.next_job).into();
         self.next_job += 1;
-        let work = self.rng.random_range(10..400);
+        let mut work = self.rng.random_range(10..400);
+        if let Some(rng) = &mut self.restarts
+            && rng.random_bool(LONG_SHARE)
+        {
+            work += RESUBMIT_AFTER;
+        }
         self.work.insert(id.clone(), work);
         let step = |tasks, after: Vec<u16>| StepSpec {
             tasks,
