Take the longest lease of endpoints from the settings

Cause: the agent counted on 1 s after a restart of its endpoint, as on the deployments in force; one that grants longer leases keeps its runs for longer. Tests of guards use GuardConf::default(), with the values that they named.

--- a/crates/decisions/src/guard/endpoint_clock.rs
+++ b/crates/decisions/src/guard/endpoint_clock.rs
@@ -1,7 +1,7 @@
 //! Estimate of an endpoint's clock and the end of the lease of its runs.
 
 use {
-    crate::timing::{LONGEST_LEASE, ORDER_TIMEOUT},
+    crate::timing::ORDER_TIMEOUT,
     std::time::{Duration, Instant},
 };
 
@@ -18,6 +18,8 @@
 pub struct EndpointClock {
     reading: EndpointTime,
     received_at: Instant,
+    /// Longest lease that the endpoint grants, by the settings; it shortens longer ones.
+    longest_lease: Duration,
     leases_end_at: Option<Instant>,
     /// When a lease was last requested.
     extended_at: Option<Instant>,
@@ -32,10 +34,11 @@
     /// Creates the estimate from a reading that was announced at `now`. The endpoint's first
     /// answer replaces it, since another writer may have announced it.
     #[must_use]
-    pub fn announced(now: Instant, reading: EndpointTime) -> Self {
+    pub fn announced(now: Instant, reading: EndpointTime, longest_lease: Duration) -> Self {
         Self {
             reading,
             received_at: now,
+            longest_lease,
             leases_end_at: None,
             extended_at: None,
             is_confirmed: false,
@@ -47,7 +50,7 @@
     /// again from the first answer on: until then such an order may still arrive.
     pub fn expect_earlier_leases(&mut self, now: Instant) {
         self.may_hold_earlier_leases = true;
-        self.count_lease(now + ORDER_TIMEOUT, LONGEST_LEASE);
+        self.count_lease(now + ORDER_TIMEOUT, self.longest_lease);
     }
 
     /// Returns whether the endpoint itself answered with a reading. Before that no lease
@@ -68,7 +71,7 @@
         let estimate = self.earliest_time(now);
         let is_restarted = self.is_confirmed && reading + ORDER_TIMEOUT < estimate;
         if is_restarted || std::mem::take(&mut self.may_hold_earlier_leases) {
-            self.count_lease(now, LONGEST_LEASE);
+            self.count_lease(now, self.longest_lease);
         }
         if !self.is_confirmed
             || is_restarted
@@ -115,7 +118,9 @@
     /// taken, on whose clock each request is for the longest lease.
     #[must_use]
     pub fn leases_end_at_any(&self) -> Option<Instant> {
-        let longest = self.extended_at.map(|at| latest_end(at, LONGEST_LEASE));
+        let longest = self
+            .extended_at
+            .map(|at| latest_end(at, self.longest_lease));
         self.leases_end_at.max(longest)
     }
 }
--- a/crates/decisions/src/guard/endpoint_side.rs
+++ b/crates/decisions/src/guard/endpoint_side.rs
@@ -21,7 +21,7 @@
     pub(super) fn handle_announcement(&mut self, now: Instant, announcement: Announcement) {
         let Some(endpoint) = &mut self.endpoint else {
             self.record_endpoint_event(&announcement.info, "announced");
-            self.endpoint = Some(EndpointState::new(now, announcement));
+            self.endpoint = Some(EndpointState::new(now, announcement, self.conf));
             return;
         };
         let is_same_id = endpoint.info.endpoint == announcement.info.endpoint;
@@ -33,7 +33,7 @@
                 return;
             }
             if is_same_id {
-                self.replace_endpoint(now, EndpointState::new(now, announcement));
+                self.replace_endpoint(now, EndpointState::new(now, announcement, self.conf));
             } else {
                 endpoint.keep_successor(announcement);
             }
@@ -72,7 +72,7 @@
         let is_gone = endpoint.process == ProcessState::Superseded
             || !(may_run || endpoint.is_responsive(now));
         if is_gone && let Some(successor) = endpoint.successor.take() {
-            self.replace_endpoint(now, EndpointState::new(now, successor));
+            self.replace_endpoint(now, EndpointState::new(now, successor, self.conf));
         }
     }
 
@@ -91,7 +91,8 @@
             incarnation,
             ..endpoint.info.clone()
         };
-        self.replace_endpoint(now, EndpointState::unannounced(now, info, reading));
+        let next = EndpointState::unannounced(now, info, reading, self.conf);
+        self.replace_endpoint(now, next);
         self.mark_stale();
         self.send_immediate_list(now);
     }
--- a/crates/decisions/src/guard/endpoint_state.rs
+++ b/crates/decisions/src/guard/endpoint_state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         guard::{
-            Announcement, EndNumber, EndpointClock, EndpointHealth, EndpointTime,
+            Announcement, EndNumber, EndpointClock, EndpointHealth, EndpointTime, GuardConf,
             announcement_order::AnnouncementOrder,
         },
         timing::{ENDPOINT_SILENCE_LIMIT, FAILING_PAUSE, IMMEDIATE_LIST_AFTER},
@@ -81,20 +81,25 @@
 }
 
 impl EndpointState {
-    pub(crate) fn new(now: Instant, announcement: Announcement) -> Self {
+    pub(crate) fn new(now: Instant, announcement: Announcement, conf: GuardConf) -> Self {
         Self {
             order: Some(AnnouncementOrder::new(announcement.sequence)),
             is_leaving: announcement.leaving,
-            ..Self::unannounced(now, announcement.info, announcement.clock)
+            ..Self::unannounced(now, announcement.info, announcement.clock, conf)
         }
     }
 
     /// Creates the state of an incarnation that answers orders before it announces itself.
     /// Its labels and capacity are unknown, so that it gets no tasks.
-    pub(crate) fn unannounced(now: Instant, info: EndpointInfo, reading: EndpointTime) -> Self {
+    pub(crate) fn unannounced(
+        now: Instant,
+        info: EndpointInfo,
+        reading: EndpointTime,
+        conf: GuardConf,
+    ) -> Self {
         Self {
             info,
-            clock: EndpointClock::announced(now, reading),
+            clock: EndpointClock::announced(now, reading, conf.longest_lease),
             order: None,
             health: EndpointHealth::default(),
             is_leaving: false,
--- a/crates/decisions/src/guard/guard_machine.rs
+++ b/crates/decisions/src/guard/guard_machine.rs
@@ -12,7 +12,7 @@
     },
     chestnutrun_types::{DecisionEvent, EntryId, Now, RunNumber},
     indexmap::IndexMap,
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 /// Settings of a [`GuardMachine`].
@@ -21,11 +21,23 @@
     /// First start number and fencing token: the wall clock in milliseconds, so
     /// that numbers keep growing when the agent restarts.
     pub first_number: u64,
+    /// Longest lease that an endpoint grants; it shortens longer ones.
+    pub longest_lease: Duration,
+}
+
+impl Default for GuardConf {
+    fn default() -> Self {
+        Self {
+            first_number: 1,
+            longest_lease: Duration::from_secs(1),
+        }
+    }
 }
 
 /// Starts, tracks and stops tasks at one endpoint on behalf of all entries.
 #[derive(Debug)]
 pub struct GuardMachine {
+    pub(super) conf: GuardConf,
     pub(super) token: FencingToken,
     pub(super) next_run: RunNumber,
     pub(super) endpoint: Option<EndpointState>,
@@ -43,6 +55,7 @@
     #[must_use]
     pub fn new(conf: GuardConf) -> Self {
         Self {
+            conf,
             token: conf.first_number,
             next_run: conf.first_number,
             endpoint: None,
--- a/crates/decisions/src/timing.rs
+++ b/crates/decisions/src/timing.rs
@@ -32,9 +32,6 @@
 /// again.
 pub const RUN_LEASE: Duration = Duration::from_millis(650);
 
-/// Longest lease that an endpoint grants, on its own clock; it shortens longer ones.
-pub const LONGEST_LEASE: Duration = Duration::from_secs(1);
-
 /// How long after an endpoint's last answer its agent still renews the lease
 /// and starts tasks there: one long poll of an idle endpoint and a margin.
 pub const ENDPOINT_SILENCE_LIMIT: Duration = Duration::from_millis(650);
--- a/crates/decisions/tests/best_effort_site/site.rs
+++ b/crates/decisions/tests/best_effort_site/site.rs
@@ -541,7 +541,10 @@
 
 pub(super) fn new_agent(run: u64, first_number: u64) -> FakeAgent {
     FakeAgent {
-        machine: GuardMachine::new(GuardConf { first_number }),
+        machine: GuardMachine::new(GuardConf {
+            first_number,
+            ..GuardConf::default()
+        }),
         run,
         is_up: true,
         frozen_until: 0,
--- a/crates/decisions/tests/crash_site/agent.rs
+++ b/crates/decisions/tests/crash_site/agent.rs
@@ -86,7 +86,7 @@
     pub fn of(endpoint: &str) -> Self {
         let mut agent = Self {
             begin: Instant::now(),
-            guard: GuardMachine::new(GuardConf { first_number: 1 }),
+            guard: GuardMachine::new(GuardConf::default()),
             lists: Vec::new(),
         };
         agent.handle(0, announcement_of(endpoint, 1, 1, false));
--- a/crates/decisions/tests/guard.rs
+++ b/crates/decisions/tests/guard.rs
@@ -22,7 +22,7 @@
 #[rstest]
 fn a_new_entry_incarnation_gets_no_ends_of_the_earlier_one() {
     let begin = Instant::now();
-    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let mut guard = GuardMachine::new(GuardConf::default());
     let now = later(begin, 0);
     let entry: EntryId = "entry".into();
     let order = lists(guard.handle(now, GuardInput::Announced(announcement()))).remove(0);
@@ -81,7 +81,7 @@
 #[rstest]
 fn lists_pause_when_an_endpoint_refuses_connections() {
     let begin = Instant::now();
-    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let mut guard = GuardMachine::new(GuardConf::default());
     let now = |millis| later(begin, millis);
     let mut orders = lists(guard.handle(now(0), GuardInput::Announced(announcement())));
     let mut list_count = orders.len();
@@ -151,7 +151,7 @@
     let begin = Instant::now();
     let now = |millis| later(begin, millis);
     let entry: EntryId = "entry".into();
-    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let mut guard = GuardMachine::new(GuardConf::default());
     let order = lists(guard.handle(now(0), GuardInput::Announced(announcement()))).remove(0);
     let clean = Answer::Done(Duration::from_secs(1), ListReply::default());
     let mut actions = guard.handle(now(0), GuardInput::Listed(1, order, clean));
@@ -240,7 +240,7 @@
     let begin = Instant::now();
     let now = |millis| later(begin, millis);
     let entries: Vec<EntryId> = vec!["0".into(), "1".into(), "2".into()];
-    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let mut guard = GuardMachine::new(GuardConf::default());
     let mut endpoint = FailingEndpoint::default();
     let mut actions = guard.handle(now(0), GuardInput::Announced(announcement()));
     for entry in &entries {
--- a/crates/decisions/tests/guard_endpoint.rs
+++ b/crates/decisions/tests/guard_endpoint.rs
@@ -245,7 +245,7 @@
 #[rstest]
 fn an_invented_endpoint_shuts_out_the_real_one() {
     let begin = Instant::now();
-    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let mut guard = GuardMachine::new(GuardConf::default());
     let order = lists(guard.handle(later(begin, 0), other_announcement())).remove(0);
     guard.handle(later(begin, 5), GuardInput::Announced(announcement()));
     let refused = Answer::Refused(None, OrderFault::OtherIncarnation);
--- a/crates/decisions/tests/guard_runs/restarts.rs
+++ b/crates/decisions/tests/guard_runs/restarts.rs
@@ -9,8 +9,8 @@
         second_life::{Answering, SecondLife},
     },
     chestnutrun_decisions::guard::{
-        Answer, GuardAction, GuardInput, GuardMachine, GuardMessage, ListOrder, ListReply,
-        ListedRun, OrderFault, StartOrder,
+        Answer, EndpointClock, GuardAction, GuardInput, GuardMachine, GuardMessage, ListOrder,
+        ListReply, ListedRun, OrderFault, StartOrder,
     },
     chestnutrun_types::{EndpointInfo, RunNumber, TaskId, TaskPosition},
     rstest::rstest,
@@ -234,3 +234,16 @@
     }
     panic!("the endpoint is still known: {guard:?}");
 }
+
+/// Endpoints of other deployments grant longer leases; the agent counted on a fixed one.
+#[rstest]
+fn a_restarted_endpoint_keeps_its_runs_beyond_the_lease_that_is_counted_on() {
+    let begin = Instant::now();
+    let longest = Duration::from_secs(3);
+    let mut clock = EndpointClock::announced(begin, Duration::ZERO, longest);
+    clock.expect_earlier_leases(begin);
+    assert!(clock.leases_end_at() > Some(begin + longest));
+    let answered_at = begin + Duration::from_millis(500);
+    clock.update(answered_at, Duration::from_millis(500));
+    assert!(clock.leases_end_at() > Some(answered_at + longest));
+}
--- a/crates/decisions/tests/guard_site/agent.rs
+++ b/crates/decisions/tests/guard_site/agent.rs
@@ -61,7 +61,7 @@
 
 /// Creates a guard with a clean endpoint and one entry that was alive at `begin`.
 pub fn usable_guard(begin: Instant) -> GuardMachine {
-    let mut guard = GuardMachine::new(GuardConf { first_number: 1 });
+    let mut guard = GuardMachine::new(GuardConf::default());
     let now = later(begin, 0);
     let order = lists(guard.handle(now, GuardInput::Announced(announcement()))).remove(0);
     let clean = Answer::Done(Duration::from_secs(1), ListReply::default());
--- a/crates/decisions/tests/overload_site/site.rs
+++ b/crates/decisions/tests/overload_site/site.rs
@@ -76,7 +76,7 @@
             events: 0,
             entries: (0..entries).map(|n| Dispatcher::new(zone(n))).collect(),
             agents: (0..endpoints)
-                .map(|_| GuardMachine::new(GuardConf { first_number: 1 }))
+                .map(|_| GuardMachine::new(GuardConf::default()))
                 .collect(),
             endpoints: (0..endpoints).map(|_| Endpoint::default()).collect(),
             wakeups: vec![0; endpoints],
--- a/crates/dispatch/src/agent_loop.rs
+++ b/crates/dispatch/src/agent_loop.rs
@@ -70,6 +70,8 @@
     pub orders: Box<dyn EndpointOrders>,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// Longest lease that the endpoint grants.
+    pub longest_lease: Duration,
     /// Whether the agent starts nothing before it knows the evacuated zones.
     pub evacuates_zones: bool,
     /// The settings file, reloaded on SIGHUP.
@@ -132,6 +134,7 @@
             settings: conf.settings,
             guard: GuardMachine::new(GuardConf {
                 first_number: incarnation / 1_000_000,
+                longest_lease: conf.longest_lease,
             }),
             links: IndexMap::new(),
             link_by_entry: IndexMap::new(),
